--- /dev/null
+++ b/core/kernel.go
@@ -0,0 +1,137 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// Tick is the event of a deadline that has come.
+type Tick struct{}
+
+// Started is the first event of a kernel.
+type Started struct{}
+
+// Kernel holds the parts of one host and runs them.
+type Kernel struct {
+	self    HostID
+	names   []string
+	parts   []Part
+	queue   []Event
+	actions []Action
+}
+
+// maxChain bounds the events that one outside event may cause; more is a loop between parts.
+const maxChain = 1 << 20
+
+// New makes a kernel of the given plug-ins, or of all registered ones where none is given.
+func New(env Env, plugins ...Plugin) *Kernel {
+	if len(plugins) == 0 {
+		plugins = Plugins()
+	}
+	plugins = slices.Clone(plugins)
+	slices.SortFunc(plugins, comparePlugins)
+	k := &Kernel{self: env.Self}
+	for _, p := range plugins {
+		k.names = append(k.names, p.Name)
+		k.parts = append(k.parts, p.New(env))
+	}
+	return k
+}
+
+// Step gives one event to the parts, then the events that they post, and returns the actions in the order in which
+// they were asked for. The same events at the same times give the same actions.
+func (k *Kernel) Step(now time.Time, ev Event) []Action {
+	k.actions = nil
+	k.queue = append(k.queue[:0], ev)
+	t := &Turn{Now: now, kernel: k}
+	for i := 0; i < len(k.queue); i++ {
+		if i == maxChain {
+			panic("core: parts post events to each other without end")
+		}
+		for p := range k.parts {
+			k.parts[p].Handle(t, k.queue[i])
+		}
+	}
+	clear(k.queue)
+	return k.actions
+}
+
+// NextDeadline returns when the kernel wants a Tick, or the zero time where no part waits.
+func (k *Kernel) NextDeadline() time.Time {
+	var next time.Time
+	for i := range k.parts {
+		if k.parts[i].NextDeadline == nil {
+			continue
+		}
+		next = Earlier(next, k.parts[i].NextDeadline())
+	}
+	return next
+}
+
+// Gauges reports the counts of all parts as "part.name".
+func (k *Kernel) Gauges(set func(name string, value int64)) {
+	for i := range k.parts {
+		if k.parts[i].Gauges == nil {
+			continue
+		}
+		k.parts[i].Gauges(func(name string, value int64) { set(k.names[i]+"."+name, value) })
+	}
+}
+
+// Earlier returns the earlier of two times, where the zero time means never.
+func Earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// Due reports whether a deadline was set and has come.
+func Due(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
+
+// Turn is one call of Step as a part sees it.
+type Turn struct {
+	Now    time.Time
+	kernel *Kernel
+}
+
+// Post gives an event to all parts later in the same step.
+func (t *Turn) Post(ev Event) { t.kernel.queue = append(t.kernel.queue, ev) }
+
+// Do asks the outside for an action.
+func (t *Turn) Do(a Action) { t.kernel.actions = append(t.kernel.actions, a) }
+
+// Send gives a message to a host; one to the own host arrives later in the same step.
+func (t *Turn) Send(to HostID, m Message) {
+	if to == "" {
+		return
+	}
+	if to == t.kernel.self {
+		t.Post(Received{From: to, Message: m})
+		return
+	}
+	t.Do(SendMessage{To: to, Message: m})
+}
+
+// Decide asks for a log line about a routing or placement decision.
+func (t *Turn) Decide(d Decision) { t.Do(LogDecision{Decision: d}) }
+
+// SaveSnapshot collects the replicated state of all parts.
+func (t *Turn) SaveSnapshot() *Snapshot {
+	s := &Snapshot{}
+	for i := range t.kernel.parts {
+		if t.kernel.parts[i].Save != nil {
+			t.kernel.parts[i].Save(s)
+		}
+	}
+	return s
+}
+
+// LoadSnapshot replaces the replicated state of all parts.
+func (t *Turn) LoadSnapshot(s *Snapshot) {
+	for i := range t.kernel.parts {
+		if t.kernel.parts[i].Load != nil {
+			t.kernel.parts[i].Load(t, s)
+		}
+	}
+}
--- /dev/null
+++ b/core/plugin.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Event is something that happened outside the kernel, or that one part tells the others.
+type Event any
+
+// Action is something that the kernel asks the outside to do.
+type Action any
+
+// Part is one running plug-in of one kernel; its function fields are its seams and any of them but Handle may be nil.
+type Part struct {
+	// Handle takes one event; parts ignore the events they do not know.
+	Handle func(t *Turn, ev Event)
+	// NextDeadline returns when the part wants a Tick, or the zero time.
+	NextDeadline func() time.Time
+	// Save adds the part's replicated state to a snapshot.
+	Save func(s *Snapshot)
+	// Load replaces the part's replicated state by the one of a snapshot.
+	Load func(t *Turn, s *Snapshot)
+	// Gauges reports counts for operators, by name in camel case.
+	Gauges func(set func(name string, value int64))
+}
+
+// Plugin makes a Part for a kernel.
+type Plugin struct {
+	Name string
+	// Rank orders the parts of a kernel: lower ranks see an event first.
+	Rank int
+	New  func(env Env) Part
+}
+
+// Env is what a part may know about the kernel it lives in.
+type Env struct {
+	Self       HostID
+	DataCentre DataCentre
+	// Disk is the incarnation of the data folder, or empty on a host without one.
+	Disk DiskID
+	// Addr is where the other hosts reach this one.
+	Addr netip.AddrPort
+	// Boot tells this start of the process from earlier ones; later starts have higher numbers.
+	Boot uint64
+	// Seeds are addresses of hosts to meet first.
+	Seeds []netip.AddrPort
+	// Keepers are the hosts that form the first keeper set.
+	Keepers []HostID
+	// Rand is the kernel's only source of random numbers.
+	Rand *rand.Rand
+	// Stored is what the data folder held when the kernel was made.
+	Stored Stored
+	// Limits are the stated bounds of the host's tables.
+	Limits Limits
+}
+
+// Limits bounds what a host holds at once.
+type Limits struct {
+	Requests  int
+	Upstreams int
+	Hosts     int
+	Commands  int
+	OnceCalls int
+}
+
+// DefaultLimits returns bounds that fit one host at the two-year size.
+func DefaultLimits() Limits {
+	return Limits{Requests: 4096, Upstreams: 4096, Hosts: 1024, Commands: 4096, OnceCalls: 65536}
+}
+
+var registry []Plugin
+
+// Register adds a plug-in to the ones that New takes; plug-ins call it from their init function.
+// It panics on a second plug-in of the same name, a fault of the program that no caller can handle.
+func Register(p Plugin) {
+	if slices.ContainsFunc(registry, func(q Plugin) bool { return q.Name == p.Name }) {
+		panic(fmt.Sprintf("core: plug-in %q is registered twice", p.Name))
+	}
+	registry = append(registry, p)
+}
+
+// Plugins returns the registered plug-ins by rank, then by name.
+func Plugins() []Plugin {
+	all := slices.Clone(registry)
+	slices.SortFunc(all, comparePlugins)
+	return all
+}
+
+func comparePlugins(a, b Plugin) int {
+	if a.Rank != b.Rank {
+		return a.Rank - b.Rank
+	}
+	return strings.Compare(a.Name, b.Name)
+}
--- /dev/null
+++ b/core/replicated.go
@@ -0,0 +1,157 @@
+package core
+
+import "time"
+
+// EntryKind says which field of an Entry is set.
+type EntryKind uint8
+
+// The kinds of log entry.
+const (
+	EntryNoop EntryKind = iota + 1
+	EntryCommand
+	EntryOnce
+	EntryKeepers
+)
+
+// Entry is one entry of the replicated log.
+type Entry struct {
+	Index   Index      `cbor:"index"`
+	Epoch   Epoch      `cbor:"epoch"`
+	Kind    EntryKind  `cbor:"kind"`
+	Command Command    `cbor:"command,omitzero"`
+	Once    OnceRecord `cbor:"once,omitzero"`
+	Keepers KeeperSet  `cbor:"keepers,omitzero"`
+}
+
+// Command is an operator's change of the configuration.
+type Command struct {
+	ID CommandID `cbor:"id"`
+	// Expect is the version that the operator saw; any other one refuses the command.
+	Expect Version `cbor:"expect"`
+	Change Change  `cbor:"change"`
+	// Operator names who asked, for the history.
+	Operator string `cbor:"operator"`
+	// At is when the leader took the command, by its wall clock, for the history only.
+	At time.Time `cbor:"at"`
+}
+
+// CommandResult is the first and only answer to a command.
+type CommandResult struct {
+	ID      CommandID `cbor:"id"`
+	Version Version   `cbor:"version"`
+	Failure *Failure  `cbor:"failure,omitempty"`
+	Summary string    `cbor:"summary"`
+	Who     string    `cbor:"who"`
+	At      time.Time `cbor:"at"`
+}
+
+// Keeper is one member of the keeper set, with the incarnation of its data folder.
+type Keeper struct {
+	Host  HostID `cbor:"host"`
+	Disk  DiskID `cbor:"disk"`
+	Voter bool   `cbor:"voter"`
+}
+
+// KeeperSet is the hosts that keep the replicated log.
+type KeeperSet struct {
+	Members []Keeper `cbor:"members"`
+}
+
+// HardState is what a keeper must not forget between two terms of office.
+type HardState struct {
+	Epoch Epoch  `cbor:"epoch"`
+	Vote  HostID `cbor:"vote"`
+}
+
+// Snapshot is the replicated state up to an entry.
+type Snapshot struct {
+	Index    Index           `cbor:"index"`
+	Epoch    Epoch           `cbor:"epoch"`
+	Keepers  KeeperSet       `cbor:"keepers"`
+	Tables   Tables          `cbor:"tables"`
+	Commands []CommandResult `cbor:"commands"`
+	Once     []OnceRecord    `cbor:"once"`
+}
+
+// Stored is what a data folder holds.
+type Stored struct {
+	Hard     HardState
+	Snapshot *Snapshot
+	Entries  []Entry
+}
+
+// Persist asks the disk to make a state durable; Persisted with the same sequence number follows its sync.
+type Persist struct {
+	Seq uint64
+	// Hard replaces the stored hard state.
+	Hard HardState
+	// Entries replace the stored ones from the first one's index on.
+	Entries []Entry
+	// Snapshot replaces the stored one and every entry up to its index.
+	Snapshot *Snapshot
+}
+
+// Persisted tells that everything up to a sequence number is durable.
+type Persisted struct{ Seq uint64 }
+
+// DiskFailed tells that the data folder can no longer be trusted; the keeper stops voting and acknowledging.
+type DiskFailed struct{ Reason string }
+
+// Committed tells the parts of a keeper that an entry is decided; every keeper sees the same ones in the same order.
+type Committed struct{ Entry Entry }
+
+// Propose asks the leader's replica part to append an entry; on another host it fails at once.
+type Propose struct{ Entry Entry }
+
+// ProposeFailed tells that an entry was not appended, or was overwritten by another leader's.
+type ProposeFailed struct {
+	Entry   Entry
+	Failure *Failure
+}
+
+// LeaderChanged tells who leads the keepers, as far as this host knows.
+type LeaderChanged struct {
+	Leader HostID
+	Epoch  Epoch
+	// Self is true while this host is the leader and has applied every entry of earlier epochs.
+	Self bool
+}
+
+// Confirm asks the leader's replica part to prove its leadership to a majority from now on.
+type Confirm struct{ Tag uint64 }
+
+// Confirmed tells that a majority followed this leader after the Confirm with this tag.
+type Confirmed struct{ Tag uint64 }
+
+// OnceState is how far a call that may not be repeated has come.
+type OnceState uint8
+
+// The states of a call that may not be repeated.
+const (
+	OnceIntent OnceState = iota + 1
+	OnceDone
+	OnceUnknown
+	OnceNotRun
+)
+
+// OnceRecord is the durable record of a call that may not be repeated.
+type OnceRecord struct {
+	Key     OnceKey   `cbor:"key"`
+	Body    uint64    `cbor:"body"`
+	State   OnceState `cbor:"state"`
+	Attempt AttemptID `cbor:"attempt"`
+	Host    HostID    `cbor:"host"`
+	Boot    uint64    `cbor:"boot"`
+	// At is when the leader took the record, by its wall clock; expiry counts from it.
+	At     time.Time    `cbor:"at"`
+	Answer StoredAnswer `cbor:"answer,omitzero"`
+}
+
+// StoredAnswer is an upstream's answer as it is kept for a resend.
+type StoredAnswer struct {
+	Status      int    `cbor:"status"`
+	ContentType string `cbor:"contentType"`
+	Body        []byte `cbor:"body"`
+	// TooLarge answers were given to the first caller and are not kept.
+	TooLarge bool `cbor:"tooLarge"`
+}
--- /dev/null
+++ b/core/request.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Request is what the core needs to know of a caller's request; the body stays with the traffic side.
+type Request struct {
+	ID     RequestID
+	Caller netip.AddrPort
+	// Key is the hash of the key that came with the request; HasKey is false where none came.
+	Key    KeyHash
+	HasKey bool
+	// Path is the path of a call to a plain service, empty for a model request.
+	Path string
+	// Model is the model that the caller named, empty for a plain call.
+	Model PoolID
+	// Prompt is the estimated length of the prompt.
+	Prompt Tokens
+	// MaxOutput is the most tokens that the caller wants, or zero.
+	MaxOutput Tokens
+	// Blocks are the chained hashes of the prompt's leading blocks of BlockTokens each.
+	Blocks []uint64
+	// Once is the caller's Idempotency-Key, or empty.
+	Once string
+	// Body is a hash of method, path and body, to tell a resend from other content.
+	Body uint64
+	// Deadline is when the caller is refused at the latest.
+	Deadline time.Time
+}
+
+const (
+	// PieceTokens is the unit in which engines hand out memory.
+	PieceTokens Tokens = 4096
+	// BlockTokens is the unit of prefix-cache hints.
+	BlockTokens Tokens = 256
+)
+
+// Pieces returns the engine memory that so many tokens take.
+func Pieces(n Tokens) int { return int((n + PieceTokens - 1) / PieceTokens) }
+
+// RequestArrived tells that a caller sent a whole request.
+type RequestArrived struct{ Request Request }
+
+// CallerGone tells that the caller of a request closed its connection.
+type CallerGone struct{ Request RequestID }
+
+// KVRef says where a prefill's result lies.
+type KVRef struct {
+	From   netip.AddrPort `cbor:"from"   json:"from"`
+	Handle string         `cbor:"handle" json:"handle"`
+}
+
+// PrefillEnded tells how a RunPrefill ended.
+type PrefillEnded struct {
+	Attempt AttemptID
+	KV      KVRef
+	Prompt  Tokens
+	Cached  Tokens
+	Failure *Failure
+}
+
+// FirstToken tells that the first token of a request went to its caller.
+type FirstToken struct{ Attempt AttemptID }
+
+// DecodeEnded tells how a RunDecode ended; Relayed counts the tokens that the caller has from all attempts.
+type DecodeEnded struct {
+	Attempt AttemptID
+	Relayed Tokens
+	Prompt  Tokens
+	Failure *Failure
+	// Broken is true where the connection was lost and the engine may still hold the stream.
+	Broken bool
+}
+
+// CallEnded tells how a RunCall ended.
+type CallEnded struct {
+	Attempt AttemptID
+	Answer  StoredAnswer
+	Failure *Failure
+}
+
+// RunPrefill asks the traffic side to prefill the request's prompt plus the tokens already relayed.
+type RunPrefill struct {
+	Attempt  AttemptID
+	Upstream netip.AddrPort
+	Epoch    Epoch
+	Blocks   []uint64
+	Timeout  time.Duration
+}
+
+// RunDecode asks the traffic side to relay a stream from the offset that the caller has reached.
+type RunDecode struct {
+	Attempt  AttemptID
+	Upstream netip.AddrPort
+	Epoch    Epoch
+	KV       KVRef
+	Max      Tokens
+	// Resume is true where the engine still holds the attempt's stream.
+	Resume bool
+	// Silence is the longest wait for the next token.
+	Silence time.Duration
+}
+
+// RunCall asks the traffic side to pass the request to a plain service.
+type RunCall struct {
+	Attempt  AttemptID
+	Upstream netip.AddrPort
+	Timeout  time.Duration
+	// Fresh calls use a new connection, since an old one may have gone silent.
+	Fresh bool
+}
+
+// Finish tells the traffic side that the answer it holds may go to the caller and that the request is over.
+type Finish struct{ Request RequestID }
+
+// GiveStored asks the traffic side to answer with a stored answer.
+type GiveStored struct {
+	Request RequestID
+	Answer  StoredAnswer
+}
+
+// Refuse asks the traffic side to answer with an error.
+type Refuse struct {
+	Request RequestID
+	Failure *Failure
+}
+
+// CancelAttempt asks an engine to free everything that it holds for an attempt; CancelEnded follows.
+type CancelAttempt struct {
+	Attempt  AttemptID
+	Upstream netip.AddrPort
+}
+
+// CancelEnded tells whether an engine confirmed that it holds nothing for an attempt.
+type CancelEnded struct {
+	Attempt  AttemptID
+	Upstream netip.AddrPort
+	OK       bool
+}
+
+// Draining tells the parts that the host is shutting down gracefully.
+type Draining struct{}
+
+// Drained tells the outside that no request is left on a host that is shutting down.
+type Drained struct{}
+
+// Decision is one routing or placement decision, for the log.
+type Decision struct {
+	Part    string    `json:"part"`
+	Choice  string    `json:"choice"`
+	Reason  string    `json:"reason"`
+	Request RequestID `json:"request,omitempty"`
+	Attempt int       `json:"attempt,omitempty"`
+	Account AccountID `json:"account,omitempty"`
+	Pool    PoolID    `json:"pool,omitempty"`
+	Target  string    `json:"target,omitempty"`
+	Score   float64   `json:"score,omitempty"`
+	// Others are the runners-up, best first.
+	Others []Candidate `json:"others,omitempty"`
+}
+
+// Candidate is a choice that lost, with its score; lower is better.
+type Candidate struct {
+	Target string  `json:"target"`
+	Score  float64 `json:"score"`
+}
+
+// LogDecision asks for a log line.
+type LogDecision struct{ Decision Decision }
+
+// OperatorAsked is a command from the operator RPCs.
+type OperatorAsked struct {
+	Ticket  uint64
+	Command Command
+}
+
+// OperatorAnswer answers an OperatorAsked.
+type OperatorAnswer struct {
+	Ticket uint64
+	Result CommandResult
+}
+
+// StatusAsked asks for the state of the whole system as the leader sees it.
+type StatusAsked struct{ Ticket uint64 }
+
+// StatusAnswer answers a StatusAsked.
+type StatusAnswer struct {
+	Ticket  uint64
+	Status  Status
+	Failure *Failure
+}
+
+// Status is what operators see of the whole system.
+type Status struct {
+	Leader  HostID          `cbor:"leader"`
+	Epoch   Epoch           `cbor:"epoch"`
+	Version Version         `cbor:"version"`
+	InForce Version         `cbor:"inForce"`
+	Holders []HolderStatus  `cbor:"holders"`
+	Keepers []Keeper        `cbor:"keepers"`
+	History []CommandResult `cbor:"history"`
+	Tables  Tables          `cbor:"tables"`
+}
+
+// HolderStatus is a host's configuration lease as the leader sees it.
+type HolderStatus struct {
+	Host    HostID        `cbor:"host"`
+	Version Version       `cbor:"version"`
+	Left    time.Duration `cbor:"left"`
+}
--- /dev/null
+++ b/core/upstream.go
@@ -0,0 +1,161 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Role says what an upstream does.
+type Role string
+
+// The roles of an upstream.
+const (
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+	RoleBoth    Role = "both"
+	RoleService Role = "service"
+)
+
+// CanPrefill reports whether upstreams of this role take prefills.
+func (r Role) CanPrefill() bool { return r == RolePrefill || r == RoleBoth }
+
+// CanDecode reports whether upstreams of this role take decodes.
+func (r Role) CanDecode() bool { return r == RoleDecode || r == RoleBoth }
+
+// Announcement is how an upstream tells that it is there; it is repeated as a heartbeat.
+type Announcement struct {
+	ID         UpstreamID     `cbor:"id"         json:"id"`
+	Pool       PoolID         `cbor:"pool"       json:"pool"`
+	Role       Role           `cbor:"role"       json:"role"`
+	Addr       netip.AddrPort `cbor:"addr"       json:"addr"`
+	DataCentre DataCentre     `cbor:"dataCentre" json:"dataCentre"`
+	// Incarnation grows with each start of the upstream.
+	Incarnation uint64 `cbor:"incarnation" json:"incarnation"`
+	// Slots is how many streams a decode engine carries, or how many calls a service takes at once.
+	Slots int `cbor:"slots" json:"slots"`
+	// Pieces is the engine's memory in units of 4,096 tokens.
+	Pieces        int  `cbor:"pieces"        json:"pieces"`
+	ChecksSender  bool `cbor:"checksSender"  json:"checksSender"`
+	ChecksFencing bool `cbor:"checksFencing" json:"checksFencing"`
+	// Leaving upstreams get no new work.
+	Leaving bool `cbor:"leaving" json:"leaving"`
+}
+
+const (
+	maxSlots  = 1 << 16
+	maxPieces = 1 << 24
+)
+
+// Check returns a KindBadRequest error unless the announcement's fields are in range.
+func (a *Announcement) Check() error {
+	if err := CheckName("id", string(a.ID)); err != nil {
+		return err
+	}
+	if err := CheckName("pool", string(a.Pool)); err != nil {
+		return err
+	}
+	if !a.Role.CanPrefill() && !a.Role.CanDecode() && a.Role != RoleService {
+		return Fail(KindBadRequest, "role: %q is not known", a.Role)
+	}
+	if !a.Addr.IsValid() || a.Addr.Port() == 0 {
+		return Fail(KindBadRequest, "addr: want an IP number and a port")
+	}
+	if a.Slots < 1 || a.Slots > maxSlots || a.Pieces < 0 || a.Pieces > maxPieces {
+		return Fail(KindBadRequest, "slots or pieces out of range")
+	}
+	if a.Role != RoleService && a.Pieces == 0 {
+		return Fail(KindBadRequest, "pieces: an engine must have some")
+	}
+	return nil
+}
+
+// Report is an upstream's account of its load; it lags.
+type Report struct {
+	ID          UpstreamID `cbor:"id"          json:"id"`
+	Pool        PoolID     `cbor:"pool"        json:"pool"`
+	Incarnation uint64     `cbor:"incarnation" json:"incarnation"`
+	// Seq counts the reports of an incarnation; a gap in it is a gap in the cache events.
+	Seq uint64 `cbor:"seq" json:"seq"`
+	// Attempts are the ones that the upstream holds memory for, as "request/number".
+	Attempts []AttemptID `cbor:"attempts" json:"attempts"`
+	// Stored and Evicted are the prefix blocks that came into the cache and left it since the last report.
+	Stored  []uint64 `cbor:"stored"  json:"stored"`
+	Evicted []uint64 `cbor:"evicted" json:"evicted"`
+}
+
+const maxReported = 1 << 16
+
+// Check returns a KindBadRequest error unless the report's fields are in range.
+func (r *Report) Check() error {
+	if err := CheckName("id", string(r.ID)); err != nil {
+		return err
+	}
+	if len(r.Attempts) > maxReported || len(r.Stored) > maxReported || len(r.Evicted) > maxReported {
+		return Fail(KindBadRequest, "report: a list has more than %d elements", maxReported)
+	}
+	return CheckName("pool", string(r.Pool))
+}
+
+// UpstreamAnnounced tells that an upstream spoke to this host.
+type UpstreamAnnounced struct{ Announcement Announcement }
+
+// UpstreamReported tells that an upstream's report came to this host.
+type UpstreamReported struct{ Report Report }
+
+// Member is a host as the other hosts see it.
+type Member struct {
+	Host       HostID         `cbor:"host"        json:"host"`
+	Addr       netip.AddrPort `cbor:"addr"        json:"addr"`
+	DataCentre DataCentre     `cbor:"dataCentre"  json:"dataCentre"`
+	Disk       DiskID         `cbor:"disk"        json:"disk"`
+	// Boot tells one start of the host's process from the next.
+	Boot uint64 `cbor:"boot" json:"boot"`
+	// Incarnation grows when the host contradicts a suspicion.
+	Incarnation uint64      `cbor:"incarnation" json:"incarnation"`
+	State       MemberState `cbor:"state"       json:"state"`
+	// Leaving hosts finish their requests and take no roles.
+	Leaving bool `cbor:"leaving" json:"leaving"`
+}
+
+// MemberState is what hosts believe of a host.
+type MemberState uint8
+
+// The states of a host, in the order in which the later one wins within an incarnation.
+const (
+	MemberAlive MemberState = iota + 1
+	MemberSuspect
+	MemberLeft
+	MemberDead
+)
+
+// MembersChanged tells which hosts are alive or suspect, in order of their IDs, the own one among them.
+type MembersChanged struct{ Members []Member }
+
+// PeersChanged tells the outside where the other hosts are.
+type PeersChanged struct{ Peers []Member }
+
+// TablesChanged tells that another version of the configuration is in force on this host.
+type TablesChanged struct{ Tables *Tables }
+
+// LeaderKnown tells every host, keeper or not, whom the last configuration lease came from.
+type LeaderKnown struct {
+	Leader HostID
+	Epoch  Epoch
+}
+
+// ConfigApplied tells a keeper's parts that a command made another version of the configuration.
+type ConfigApplied struct {
+	Tables *Tables
+	Change Change
+}
+
+// PublishState gives the traffic side what it may read without asking.
+type PublishState struct {
+	Tables *Tables
+	// Until is when the configuration lease runs out.
+	Until    time.Time
+	Draining bool
+}
+
+// LeaseChanged tells until when the host may act on its configuration.
+type LeaseChanged struct{ Until time.Time }
