--- /dev/null
+++ b/core/config/config.go
@@ -0,0 +1,251 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	rank = 20
+	// resendEvery is how often a command is sent to the leader until it is answered.
+	resendEvery = 500 * time.Millisecond
+	// commandTimeout is how long an operator waits before the outcome counts as unknown.
+	commandTimeout = 10 * time.Second
+)
+
+// asked is a command of an operator who is connected to this host.
+type asked struct {
+	tickets  []uint64
+	command  core.Command
+	deadline time.Time
+	resend   time.Time
+}
+
+type part struct {
+	self    core.HostID
+	limit   int
+	leader  core.HostID
+	leading bool
+	tables  *core.Tables
+	// results holds the answers to the latest commands; order is their age.
+	results map[core.CommandID]core.CommandResult
+	order   []core.CommandID
+	// waiters are the hosts that forwarded a command which is in the log.
+	waiters map[core.CommandID][]core.HostID
+	asked   map[core.CommandID]*asked
+}
+
+func init() { core.Register(Plugin()) }
+
+// Plugin returns the plug-in.
+func Plugin() core.Plugin { return core.Plugin{Name: "config", Rank: rank, New: newPart} }
+
+func newPart(env core.Env) core.Part {
+	p := &part{
+		self: env.Self, limit: env.Limits.Commands, tables: &core.Tables{},
+		results: map[core.CommandID]core.CommandResult{},
+		waiters: map[core.CommandID][]core.HostID{},
+		asked:   map[core.CommandID]*asked{},
+	}
+	p.tables.Index()
+	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Save: p.save, Load: p.load, Gauges: p.gauges}
+}
+
+func (p *part) handle(t *core.Turn, ev core.Event) {
+	switch e := ev.(type) {
+	case core.OperatorAsked:
+		p.operatorAsked(t, e)
+	case core.Committed:
+		if e.Entry.Kind == core.EntryCommand {
+			p.apply(t, e.Entry.Command)
+		}
+	case core.LeaderChanged:
+		p.leaderChanged(e)
+	case core.LeaderKnown:
+		p.leader = e.Leader
+	case core.Tick:
+		p.tick(t)
+	case core.Received:
+		p.receive(t, e.From, e.Message)
+	}
+}
+
+func (p *part) receive(t *core.Turn, from core.HostID, m core.Message) {
+	switch m := m.(type) {
+	case core.CommandAsk:
+		p.commandAsked(t, from, m.Command)
+	case core.CommandReply:
+		p.answer(t, m.Result)
+	}
+}
+
+func (p *part) leaderChanged(e core.LeaderChanged) {
+	p.leading = e.Self
+	if e.Leader != "" {
+		p.leader = e.Leader
+	}
+	if !e.Self {
+		clear(p.waiters)
+	}
+}
+
+func (p *part) operatorAsked(t *core.Turn, e core.OperatorAsked) {
+	if err := e.Command.Change.Check(); err != nil {
+		t.Do(core.OperatorAnswer{Ticket: e.Ticket, Result: core.CommandResult{ID: e.Command.ID, Failure: core.FailureOf(err)}})
+		return
+	}
+	a := p.asked[e.Command.ID]
+	if a == nil && len(p.asked) >= p.limit {
+		full := core.Fail(core.KindOverloaded, "too many commands at once")
+		t.Do(core.OperatorAnswer{Ticket: e.Ticket, Result: core.CommandResult{ID: e.Command.ID, Failure: full}})
+		return
+	}
+	if a == nil {
+		a = &asked{command: e.Command, deadline: t.Now.Add(commandTimeout)}
+		p.asked[e.Command.ID] = a
+	}
+	a.tickets = append(a.tickets, e.Ticket)
+	a.resend = t.Now.Add(resendEvery)
+	t.Send(p.leader, core.CommandAsk{Command: a.command})
+}
+
+func (p *part) tick(t *core.Turn) {
+	for _, id := range slices.Sorted(maps.Keys(p.asked)) {
+		a := p.asked[id]
+		if core.Due(a.deadline, t.Now) {
+			unknown := core.Fail(core.KindOutcomeUnknown, "no leader answered; send the command again under the same ID")
+			p.answer(t, core.CommandResult{ID: id, Failure: unknown})
+			continue
+		}
+		if core.Due(a.resend, t.Now) {
+			a.resend = t.Now.Add(resendEvery)
+			t.Send(p.leader, core.CommandAsk{Command: a.command})
+		}
+	}
+}
+
+func (p *part) nextDeadline() time.Time {
+	var next time.Time
+	for _, a := range p.asked {
+		next = core.Earlier(next, core.Earlier(a.deadline, a.resend))
+	}
+	return next
+}
+
+// commandAsked answers a command that is decided already and puts a new one into the log.
+func (p *part) commandAsked(t *core.Turn, from core.HostID, c core.Command) {
+	if !p.leading {
+		return
+	}
+	if r, ok := p.results[c.ID]; ok {
+		t.Send(from, core.CommandReply{Result: r})
+		return
+	}
+	waiting, ok := p.waiters[c.ID]
+	if !slices.Contains(waiting, from) {
+		p.waiters[c.ID] = append(waiting, from)
+	}
+	if ok {
+		return
+	}
+	c.At = t.Now.UTC().Round(0)
+	t.Post(core.Propose{Entry: core.Entry{Kind: core.EntryCommand, Command: c}})
+}
+
+// apply decides a command the same way on every keeper. A command ID that was decided before changes nothing, so a
+// command that was resent, or proposed by two leaders, counts once.
+func (p *part) apply(t *core.Turn, c core.Command) {
+	r, ok := p.results[c.ID]
+	if !ok {
+		r = p.decide(t, c)
+		p.remember(r)
+	}
+	for _, h := range p.waiters[c.ID] {
+		t.Send(h, core.CommandReply{Result: r})
+	}
+	delete(p.waiters, c.ID)
+}
+
+func (p *part) decide(t *core.Turn, c core.Command) core.CommandResult {
+	r := core.CommandResult{ID: c.ID, Version: p.tables.Version, Summary: summary(&c.Change), Who: c.Operator, At: c.At}
+	if c.Expect != p.tables.Version {
+		r.Failure = core.Fail(core.KindVersionConflict, "the version is %d, not %d", p.tables.Version, c.Expect)
+		return r
+	}
+	next, err := p.tables.Apply(&c.Change)
+	if err != nil {
+		r.Failure = core.FailureOf(err)
+		return r
+	}
+	p.tables = next
+	r.Version = next.Version
+	t.Post(core.ConfigApplied{Tables: next, Change: c.Change})
+	return r
+}
+
+func (p *part) remember(r core.CommandResult) {
+	p.results[r.ID] = r
+	p.order = append(p.order, r.ID)
+	if len(p.order) > p.limit {
+		delete(p.results, p.order[0])
+		p.order = slices.Delete(p.order, 0, 1)
+	}
+}
+
+func (p *part) answer(t *core.Turn, r core.CommandResult) {
+	a := p.asked[r.ID]
+	if a == nil {
+		return
+	}
+	delete(p.asked, r.ID)
+	for _, ticket := range a.tickets {
+		t.Do(core.OperatorAnswer{Ticket: ticket, Result: r})
+	}
+}
+
+func (p *part) save(s *core.Snapshot) {
+	s.Tables = *p.tables
+	for _, id := range p.order {
+		s.Commands = append(s.Commands, p.results[id])
+	}
+}
+
+func (p *part) load(t *core.Turn, s *core.Snapshot) {
+	tables := s.Tables
+	tables.Index()
+	p.tables = &tables
+	p.results = map[core.CommandID]core.CommandResult{}
+	p.order = nil
+	for _, r := range s.Commands {
+		p.remember(r)
+	}
+	t.Post(core.ConfigApplied{Tables: p.tables})
+}
+
+func (p *part) gauges(set func(string, int64)) {
+	set("version", int64(p.tables.Version))
+	set("commandsKept", int64(len(p.order)))
+	set("commandsWaiting", int64(len(p.asked)))
+}
+
+// summary names what a change is about, for the history.
+func summary(c *core.Change) string {
+	subject := ""
+	switch c.Kind {
+	case core.ChangePutAccount, core.ChangeDeleteAccount:
+		subject = string(c.Account.ID)
+	case core.ChangeAddKey, core.ChangeWithdrawKey:
+		subject = string(c.Key.ID)
+	case core.ChangePutRoute, core.ChangeDeleteRoute:
+		subject = c.Route.Name
+	case core.ChangePutModel, core.ChangeDeleteModel:
+		subject = string(c.Model.ID)
+	case core.ChangePutPolicy:
+		subject = string(c.Policy.Pool)
+	}
+	return fmt.Sprintf("%s %s", c.Kind, subject)
+}
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,375 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	rank = 60
+	// sweepEvery is how often the dispatcher looks at queues, silent upstreams and cancels.
+	sweepEvery = 100 * time.Millisecond
+	// noUpstreamAfter is how long attempts wait for a pool's first upstream.
+	noUpstreamAfter = 2 * time.Second
+	// cancelEvery is how often a cancel is repeated until the engine confirms; cancelFor bounds it, since an engine
+	// that has been silent for so long has dropped out of the pool.
+	cancelEvery = 500 * time.Millisecond
+	cancelFor   = 30 * time.Second
+)
+
+// cancelKey names one cancel at one upstream.
+type cancelKey struct {
+	attempt core.AttemptID
+	addr    netip.AddrPort
+}
+
+// cancel is a cancel that the engine has not confirmed.
+type cancel struct {
+	resend time.Time
+	till   time.Time
+}
+
+type part struct {
+	self    core.HostID
+	limits  core.Limits
+	epoch   core.Epoch
+	tables  *core.Tables
+	members []core.Member
+	pools   map[core.PoolID]*pool
+	cancels map[cancelKey]*cancel
+	sweep   time.Time
+}
+
+func init() { core.Register(Plugin()) }
+
+// Plugin returns the plug-in.
+func Plugin() core.Plugin { return core.Plugin{Name: "dispatch", Rank: rank, New: newPart} }
+
+func newPart(env core.Env) core.Part {
+	p := &part{
+		self: env.Self, limits: env.Limits, tables: &core.Tables{},
+		pools: map[core.PoolID]*pool{}, cancels: map[cancelKey]*cancel{},
+	}
+	return core.Part{Handle: p.handle, NextDeadline: func() time.Time { return p.sweep }, Gauges: p.gauges}
+}
+
+func (p *part) handle(t *core.Turn, ev core.Event) {
+	switch e := ev.(type) {
+	case core.TablesChanged:
+		p.tables = e.Tables
+	case core.LeaderKnown:
+		p.epoch = e.Epoch
+	case core.MembersChanged:
+		p.membersChanged(t, e)
+	case core.UpstreamAnnounced:
+		p.forward(t, e.Announcement.Pool, core.UpstreamNews{Announcement: &e.Announcement})
+	case core.UpstreamReported:
+		p.forward(t, e.Report.Pool, core.UpstreamNews{Report: &e.Report})
+	case core.CancelEnded:
+		p.cancelEnded(e)
+	case core.Tick:
+		p.tick(t)
+	case core.Received:
+		p.receive(t, e.From, e.Message)
+	}
+}
+
+func (p *part) receive(t *core.Turn, from core.HostID, m core.Message) {
+	switch m := m.(type) {
+	case core.UpstreamNews:
+		p.news(t, m)
+	case core.PlaceAsk:
+		p.asked(t, from, m)
+	case core.Claim:
+		p.claimed(t, from, m)
+	case core.PlaceDone:
+		p.done(t, from, m)
+	}
+}
+
+// forward passes an upstream's words on to the pool's dispatcher.
+func (p *part) forward(t *core.Turn, id core.PoolID, m core.UpstreamNews) {
+	if owner, ok := Owner(id, p.members); ok {
+		t.Send(owner.Host, m)
+	}
+}
+
+func (p *part) pool(t *core.Turn, id core.PoolID) *pool {
+	pl := p.pools[id]
+	if pl == nil {
+		pl = newPool(id, t.Now)
+		p.pools[id] = pl
+	}
+	p.wake(t)
+	return pl
+}
+
+func (p *part) wake(t *core.Turn) {
+	if p.sweep.IsZero() {
+		p.sweep = t.Now.Add(sweepEvery)
+	}
+}
+
+func (p *part) news(t *core.Turn, m core.UpstreamNews) {
+	if a := m.Announcement; a != nil {
+		pl := p.pool(t, a.Pool)
+		if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
+			pl.announce(*a, t.Now)
+		}
+		p.serve(t, pl)
+	}
+	if r := m.Report; r != nil {
+		p.reported(t, r)
+	}
+}
+
+func (p *part) reported(t *core.Turn, r *core.Report) {
+	pl := p.pool(t, r.Pool)
+	u := pl.upstreams[r.ID]
+	if u == nil {
+		return
+	}
+	u.reported(r)
+	for _, a := range pl.strangers(u, r, t.Now) {
+		p.cancel(t, a, u.Addr)
+	}
+}
+
+func (p *part) asked(t *core.Turn, from core.HostID, m core.PlaceAsk) {
+	pl := p.pool(t, m.Pool)
+	if h := pl.held[m.Attempt]; h != nil {
+		t.Send(from, h.placed)
+		return
+	}
+	if pl.queue.find(m.Attempt, m.Account) != nil {
+		return
+	}
+	if pl.queue.size >= p.limits.Requests {
+		t.Send(from, core.PlaceRefused{Attempt: m.Attempt, Failure: *core.Fail(core.KindOverloaded, "the queue of %s is full", m.Pool)})
+		return
+	}
+	pl.queue.push(&waiting{ask: m, from: from, arrived: t.Now, deadline: t.Now.Add(m.Left)})
+	p.serve(t, pl)
+}
+
+// serve places attempts in the order of the fair queue until one finds no place.
+func (p *part) serve(t *core.Turn, pl *pool) {
+	policy := p.tables.Policy(pl.id)
+	for {
+		placed := false
+		for _, w := range pl.queue.heads() {
+			h, c, ok := pl.place(w, t.Now, policy, p.epoch)
+			if !ok {
+				continue
+			}
+			pl.queue.pop(w)
+			h.boot = p.bootOf(w.from)
+			t.Decide(decision(h, c, t.Now.Sub(w.arrived)))
+			t.Send(w.from, h.placed)
+			placed = true
+			break
+		}
+		if !placed {
+			return
+		}
+	}
+}
+
+func decision(h *held, c choice, waited time.Duration) core.Decision {
+	target := string(h.placed.Decode)
+	if h.placed.Prefill != "" {
+		target = string(h.placed.Prefill) + ">" + target
+	}
+	return core.Decision{
+		Part: "dispatch", Choice: "place", Reason: "lowest score after " + waited.Round(time.Microsecond).String() + " in the queue",
+		Request: h.ask.Attempt.Request, Attempt: h.ask.Attempt.Number, Account: h.ask.Account, Pool: h.ask.Pool,
+		Target: target, Score: c.score, Others: c.others,
+	}
+}
+
+func (p *part) bootOf(h core.HostID) uint64 {
+	i, ok := slices.BinarySearchFunc(p.members, h, func(m core.Member, h core.HostID) int { return cmp.Compare(m.Host, h) })
+	if !ok {
+		return 0
+	}
+	return p.members[i].Boot
+}
+
+// claimed takes over what another dispatcher had placed.
+func (p *part) claimed(t *core.Turn, from core.HostID, m core.Claim) {
+	pl := p.pool(t, m.Ask.Pool)
+	if pl.held[m.Ask.Attempt] != nil {
+		return
+	}
+	h := &held{ask: m.Ask, from: from, boot: p.bootOf(from), placed: m.Placed}
+	if !m.Ask.Service {
+		h.pieces = core.Pieces(m.Ask.Prompt + m.Ask.Output)
+	}
+	if !m.Decoding && m.Placed.Prefill != "" {
+		h.prefill = m.Ask.Prompt
+	}
+	pl.reserve(h)
+}
+
+func (p *part) done(t *core.Turn, from core.HostID, m core.PlaceDone) {
+	t.Send(from, core.PlaceDoneReply{Attempt: m.Attempt, PrefillOnly: m.PrefillOnly})
+	pl := p.pool(t, m.Pool)
+	h := pl.held[m.Attempt]
+	if h == nil {
+		pl.queue.remove(m.Attempt)
+		return
+	}
+	if u := pl.upstreams[m.Failed]; u != nil {
+		u.failed(t.Now)
+		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
+	}
+	if m.PrefillOnly {
+		pl.releasePrefill(h)
+		p.succeeded(pl, h.placed.Prefill)
+		return
+	}
+	if m.Failed == "" && !m.Cancel {
+		p.succeeded(pl, h.placed.Decode)
+	}
+	p.end(t, pl, h, m.Cancel)
+	p.serve(t, pl)
+}
+
+func (p *part) succeeded(pl *pool, id core.UpstreamID) {
+	if u := pl.upstreams[id]; u != nil {
+		u.succeeded()
+	}
+}
+
+// end frees what the ledger holds for an attempt and, where an engine may hold something too, cancels it there.
+func (p *part) end(t *core.Turn, pl *pool, h *held, withCancel bool) {
+	pl.release(h)
+	if !withCancel || h.ask.Service {
+		return
+	}
+	p.cancel(t, h.ask.Attempt, h.placed.DecodeAddr)
+	if h.placed.PrefillAddr != h.placed.DecodeAddr {
+		p.cancel(t, h.ask.Attempt, h.placed.PrefillAddr)
+	}
+}
+
+func (p *part) cancel(t *core.Turn, a core.AttemptID, addr netip.AddrPort) {
+	k := cancelKey{attempt: a, addr: addr}
+	if p.cancels[k] != nil {
+		return
+	}
+	p.cancels[k] = &cancel{resend: t.Now.Add(cancelEvery), till: t.Now.Add(cancelFor)}
+	t.Do(core.CancelAttempt{Attempt: a, Upstream: addr})
+	p.wake(t)
+}
+
+func (p *part) cancelEnded(e core.CancelEnded) {
+	if e.OK {
+		delete(p.cancels, cancelKey{attempt: e.Attempt, addr: e.Upstream})
+	}
+}
+
+// membersChanged cancels the attempts of hosts that are gone or were started anew, and drops the pools that another
+// host dispatches now once nothing of them is left here.
+func (p *part) membersChanged(t *core.Turn, e core.MembersChanged) {
+	p.members = e.Members
+	for _, id := range slices.Sorted(maps.Keys(p.pools)) {
+		pl := p.pools[id]
+		for _, a := range sortedAttempts(pl.held) {
+			h := pl.held[a]
+			if h.boot != 0 && p.bootOf(h.from) != h.boot {
+				p.end(t, pl, h, true)
+			}
+		}
+		p.serve(t, pl)
+		if owner, _ := Owner(id, p.members); owner.Host != p.self {
+			p.handOver(t, pl, owner.Host)
+		}
+	}
+}
+
+// handOver gives a pool's queue to its new dispatcher; reservations are claimed by the entry hosts themselves.
+func (p *part) handOver(t *core.Turn, pl *pool, to core.HostID) {
+	for _, id := range slices.Sorted(maps.Keys(pl.upstreams)) {
+		a := pl.upstreams[id].Announcement
+		t.Send(to, core.UpstreamNews{Announcement: &a})
+	}
+	delete(p.pools, pl.id)
+}
+
+func sortedAttempts(m map[core.AttemptID]*held) []core.AttemptID {
+	return slices.SortedFunc(maps.Keys(m), func(a, b core.AttemptID) int {
+		if c := cmp.Compare(a.Request, b.Request); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Number, b.Number)
+	})
+}
+
+func (p *part) tick(t *core.Turn) {
+	if !core.Due(p.sweep, t.Now) {
+		return
+	}
+	p.sweep = time.Time{}
+	for _, id := range slices.Sorted(maps.Keys(p.pools)) {
+		p.sweepPool(t, p.pools[id])
+	}
+	p.repeatCancels(t)
+	if len(p.pools) > 0 || len(p.cancels) > 0 {
+		p.sweep = t.Now.Add(sweepEvery)
+	}
+}
+
+func (p *part) sweepPool(t *core.Turn, pl *pool) {
+	pl.forget(t.Now)
+	if len(pl.upstreams) > 0 {
+		pl.empty = t.Now
+	}
+	missing := t.Now.Sub(pl.empty) >= noUpstreamAfter
+	for _, w := range pl.queue.late(func(w *waiting) bool { return missing || core.Due(w.deadline, t.Now) }) {
+		f := core.Fail(core.KindOverloaded, "no upstream of %s was free in time", pl.id)
+		if missing {
+			f = core.Fail(core.KindNoUpstream, "no upstream of %s is there", pl.id)
+		}
+		t.Send(w.from, core.PlaceRefused{Attempt: w.ask.Attempt, Failure: *f})
+	}
+	p.serve(t, pl)
+}
+
+func (p *part) repeatCancels(t *core.Turn) {
+	for k, c := range p.cancels {
+		if core.Due(c.till, t.Now) {
+			delete(p.cancels, k)
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(p.cancels), func(a, b cancelKey) int {
+		if c := cmp.Compare(a.attempt.String(), b.attempt.String()); c != 0 {
+			return c
+		}
+		return a.addr.Compare(b.addr)
+	})
+	for _, k := range keys {
+		if c := p.cancels[k]; core.Due(c.resend, t.Now) {
+			c.resend = t.Now.Add(cancelEvery)
+			t.Do(core.CancelAttempt{Attempt: k.attempt, Upstream: k.addr})
+		}
+	}
+}
+
+func (p *part) gauges(set func(string, int64)) {
+	var queued, heldCount, upstreams int
+	for _, pl := range p.pools {
+		queued += pl.queue.size
+		heldCount += len(pl.held)
+		upstreams += len(pl.upstreams)
+	}
+	set("queued", int64(queued))
+	set("placed", int64(heldCount))
+	set("upstreams", int64(upstreams))
+	set("cancelsOpen", int64(len(p.cancels)))
+}
--- /dev/null
+++ b/core/dispatch/owner.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderlever/core"
+)
+
+// Owner returns the host that dispatches a pool: the one with the highest hash of pool and host. When a host comes or
+// goes, only the pools that it wins or had change hands. A ring of hosts was rejected: with few hosts it spreads pools
+// less evenly and needs points to be kept.
+func Owner(pool core.PoolID, members []core.Member) (core.Member, bool) {
+	var best core.Member
+	var top uint64
+	found := false
+	for _, m := range members {
+		if s := score(pool, m.Host); !m.Leaving && (!found || s > top) {
+			best, top, found = m, s, true
+		}
+	}
+	return best, found
+}
+
+func score(pool core.PoolID, host core.HostID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(pool))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(host))
+	return d.Sum64()
+}
+
+// jsonSafeShift leaves 53 bits of a hash, which every JSON reader keeps exactly.
+const jsonSafeShift = 11
+
+// chain hashes a block together with the one before it.
+func chain(prev uint64, block []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, prev))
+	_, _ = d.Write(block)
+	return d.Sum64() >> jsonSafeShift
+}
+
+// blockBytes is how many bytes of prompt count as one block of tokens.
+const blockBytes = int(core.BlockTokens) * BytesPerToken
+
+// BytesPerToken is the estimate of a prompt's length before an engine has counted it.
+const BytesPerToken = 4
+
+// maxBlocks bounds the prefix hints of one request.
+const maxBlocks = 128
+
+// Blocks returns the chained hashes of a prompt's leading whole blocks.
+func Blocks(prompt []byte) []uint64 {
+	var out []uint64
+	prev := uint64(0)
+	for len(prompt) >= blockBytes && len(out) < maxBlocks {
+		prev = chain(prev, prompt[:blockBytes])
+		out = append(out, prev)
+		prompt = prompt[blockBytes:]
+	}
+	return out
+}
--- /dev/null
+++ b/core/dispatch/upstream.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	// silentAfter is how long an upstream may be silent before it gets no new work.
+	silentAfter = 2 * time.Second
+	// forgetAfter is how long a silent upstream is remembered.
+	forgetAfter = 30 * time.Second
+	// orphanGrace is how long an attempt may stand in reports without a claim.
+	orphanGrace = 3 * time.Second
+	// breakAfter failures in a row, an upstream is left alone for breakFor, which doubles up to breakMost.
+	breakAfter = 3
+	breakFor   = 500 * time.Millisecond
+	breakMost  = 8 * time.Second
+	// maxCacheBlocks bounds the prefix hints kept of one engine.
+	maxCacheBlocks = 8192
+)
+
+// upstream is one engine or service instance in the dispatcher's ledger.
+type upstream struct {
+	core.Announcement
+	heard time.Time
+	// slots and pieces are reserved by the ledger; prefill is the tokens of the prefills under way.
+	slots   int
+	pieces  int
+	prefill core.Tokens
+	// strangers are attempts in the last report that the ledger does not know, with when each was first seen.
+	strangers map[core.AttemptID]time.Time
+	cache     map[uint64]uint64
+	clock     uint64
+	seq       uint64
+	failures  int
+	openUntil time.Time
+	backoff   time.Duration
+}
+
+// usable reports whether an upstream may get new work.
+func (u *upstream) usable(now time.Time, policy core.UpstreamPolicy) bool {
+	return !u.Leaving && now.Sub(u.heard) < silentAfter && !now.Before(u.openUntil) && !slices.Contains(policy.Drained, u.ID)
+}
+
+// failed counts a failure and opens the breaker after several in a row.
+func (u *upstream) failed(now time.Time) {
+	u.failures++
+	if u.failures < breakAfter {
+		return
+	}
+	u.backoff = min(max(2*u.backoff, breakFor), breakMost)
+	u.openUntil = now.Add(u.backoff)
+}
+
+func (u *upstream) succeeded() {
+	u.failures = 0
+	u.backoff = 0
+}
+
+// cached returns how many leading tokens of a prompt the engine's cache is believed to hold.
+func (u *upstream) cached(blocks []uint64) core.Tokens {
+	n := 0
+	for n < len(blocks) && u.cache[blocks[n]] != 0 {
+		n++
+	}
+	return core.Tokens(n) * core.BlockTokens
+}
+
+// reported takes a report's cache events; a gap in the sequence makes every older hint worthless.
+func (u *upstream) reported(r *core.Report) {
+	if r.Incarnation != u.Incarnation || r.Seq <= u.seq {
+		return
+	}
+	if r.Seq != u.seq+1 {
+		clear(u.cache)
+	}
+	u.seq = r.Seq
+	for _, b := range r.Evicted {
+		delete(u.cache, b)
+	}
+	u.remember(r.Stored)
+}
+
+func (u *upstream) remember(blocks []uint64) {
+	for _, b := range blocks {
+		u.clock++
+		u.cache[b] = u.clock
+	}
+	if len(u.cache) <= maxCacheBlocks {
+		return
+	}
+	for b, at := range u.cache {
+		if at+maxCacheBlocks/2 < u.clock {
+			delete(u.cache, b)
+		}
+	}
+}
--- /dev/null
+++ b/core/entry/admit.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+// admitted is what the configuration says of a request.
+type admitted struct {
+	account core.Account
+	pool    core.PoolID
+	route   core.Route
+	service bool
+	output  core.Tokens
+	cost    core.Tokens
+}
+
+// Authenticate returns the client account of a key, or the refusal. A host whose configuration lease has run out
+// refuses, since the key may have been withdrawn.
+func Authenticate(tables *core.Tables, until, now time.Time, key core.KeyHash, hasKey bool) (core.Account, *core.Failure) {
+	if !now.Before(until) {
+		return core.Account{}, core.Fail(core.KindNotReady, "the host has no valid configuration")
+	}
+	if !hasKey {
+		return core.Account{}, core.Fail(core.KindNoKey, "send the key as Authorization: Bearer")
+	}
+	k, ok := tables.KeyByHash(key)
+	if !ok {
+		return core.Account{}, core.Fail(core.KindBadKey, "the key is not known or was withdrawn")
+	}
+	a, ok := tables.Account(k.Account)
+	if !ok {
+		return core.Account{}, core.Fail(core.KindBadKey, "the client account of the key is gone")
+	}
+	return a, nil
+}
+
+// admit checks a request against the configuration.
+func (p *part) admit(t *core.Turn, r *core.Request) (admitted, *core.Failure) {
+	if r.Model != "" {
+		return p.admitModel(t, r)
+	}
+	route, ok := p.tables.RouteFor(r.Path)
+	if !ok {
+		return admitted{}, core.Fail(core.KindNoRoute, "no route for %q", r.Path)
+	}
+	a := admitted{pool: route.Pool, route: route, service: true, cost: route.Cost}
+	if route.Open {
+		return a, nil
+	}
+	account, f := Authenticate(p.tables, p.until, t.Now, r.Key, r.HasKey)
+	if f != nil {
+		return a, f
+	}
+	if !core.Allows(route.Accounts, account.ID) {
+		return a, core.Fail(core.KindForbidden, "the client account may not use route %s", route.Name)
+	}
+	a.account = account
+	return a, nil
+}
+
+func (p *part) admitModel(t *core.Turn, r *core.Request) (admitted, *core.Failure) {
+	account, f := Authenticate(p.tables, p.until, t.Now, r.Key, r.HasKey)
+	if f != nil {
+		return admitted{}, f
+	}
+	m, ok := p.tables.Model(r.Model)
+	if !ok {
+		return admitted{}, core.Fail(core.KindUnknownModel, "there is no model %q", r.Model)
+	}
+	if !core.Allows(m.Accounts, account.ID) {
+		return admitted{}, core.Fail(core.KindForbidden, "the client account may not use model %s", m.ID)
+	}
+	a := admitted{account: account, pool: m.ID, output: m.MaxOutput}
+	if r.MaxOutput > 0 {
+		a.output = min(a.output, r.MaxOutput)
+	}
+	a.cost = r.Prompt + a.output
+	return a, nil
+}
+
+// onceKey returns the key under which a call that may not be repeated is recorded, or an empty one.
+func onceKey(a *admitted, r *core.Request) core.OnceKey {
+	if !a.service || a.route.Repeatable || r.Once == "" {
+		return ""
+	}
+	return core.OnceKey(string(a.account.ID) + "/" + a.route.Name + "/" + r.Once)
+}
--- /dev/null
+++ b/core/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the plug-in that takes a caller's request from its arrival to its one answer.
+package entry
--- /dev/null
+++ b/core/entry/entry.go
@@ -0,0 +1,416 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+	"oleanderlever/core/dispatch"
+)
+
+const rank = 70
+
+// part drives the requests of one entry host. Each request is a small state machine; only this part gives the
+// traffic side its next step, so a request can't be answered twice or run on two paths.
+type part struct {
+	self     core.HostID
+	limit    int
+	tables   *core.Tables
+	until    time.Time
+	members  []core.Member
+	requests map[core.RequestID]*request
+	dones    map[doneKey]*pendingDone
+	budgets  map[core.PoolID]*budget
+	draining bool
+	drained  bool
+}
+
+func init() { core.Register(Plugin()) }
+
+// Plugin returns the plug-in.
+func Plugin() core.Plugin { return core.Plugin{Name: "entry", Rank: rank, New: newPart} }
+
+func newPart(env core.Env) core.Part {
+	empty := &core.Tables{}
+	empty.Index()
+	p := &part{
+		self: env.Self, limit: env.Limits.Requests, tables: empty,
+		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{},
+	}
+	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
+}
+
+func (p *part) handle(t *core.Turn, ev core.Event) {
+	switch e := ev.(type) {
+	case core.RequestArrived:
+		p.arrived(t, e.Request)
+	case core.CallerGone:
+		p.callerGone(t, e.Request)
+	case core.QuotaTaken:
+		p.quotaTaken(t, e.Request)
+	case core.QuotaDenied:
+		p.refuse(t, p.requests[e.Request], e.Failure)
+	case core.OnceGranted:
+		p.onceGranted(t, e.Request)
+	case core.OnceRefused:
+		p.onceRefused(t, e)
+	case core.OnceKept:
+		p.onceKept(t, e.Request)
+	case core.PrefillEnded:
+		p.prefillEnded(t, e)
+	case core.DecodeEnded:
+		p.decodeEnded(t, e)
+	case core.CallEnded:
+		p.callEnded(t, e)
+	case core.TablesChanged:
+		p.tables = e.Tables
+		p.publish(t)
+		p.refuseWithdrawn(t)
+	case core.LeaseChanged:
+		p.until = e.Until
+		p.publish(t)
+	case core.MembersChanged:
+		p.members = e.Members
+		p.ownersChanged(t)
+	case core.Draining:
+		p.draining = true
+		p.publish(t)
+		p.checkDrained(t)
+	case core.Tick:
+		p.tick(t)
+	case core.Received:
+		p.receive(t, e.From, e.Message)
+	}
+}
+
+func (p *part) receive(t *core.Turn, from core.HostID, m core.Message) {
+	switch m := m.(type) {
+	case core.Placed:
+		p.placed(t, from, m)
+	case core.PlaceRefused:
+		p.placeRefused(t, m)
+	case core.PlaceDoneReply:
+		delete(p.dones, doneKey{attempt: m.Attempt, prefillOnly: m.PrefillOnly})
+	}
+}
+
+func (p *part) publish(t *core.Turn) {
+	t.Do(core.PublishState{Tables: p.tables, Until: p.until, Draining: p.draining})
+}
+
+func (p *part) arrived(t *core.Turn, r core.Request) {
+	if p.draining || len(p.requests) >= p.limit {
+		f := core.Fail(core.KindNotReady, "the host is shutting down")
+		if !p.draining {
+			f = core.Fail(core.KindOverloaded, "the host has %d requests", len(p.requests))
+		}
+		t.Do(core.Refuse{Request: r.ID, Failure: f})
+		return
+	}
+	a, f := p.admit(t, &r)
+	if f != nil {
+		t.Decide(core.Decision{Part: "entry", Choice: "refuse", Reason: f.Kind.String(), Request: r.ID, Account: a.account.ID, Pool: a.pool})
+		t.Do(core.Refuse{Request: r.ID, Failure: f})
+		return
+	}
+	rq := &request{Request: r, admitted: a}
+	rq.once = onceKey(&a, &r)
+	p.requests[r.ID] = rq
+	if a.account.ID == "" || a.cost == 0 {
+		p.quotaTaken(t, r.ID)
+		return
+	}
+	t.Post(core.QuotaWanted{Request: r.ID, Account: a.account.ID, Cost: a.cost})
+}
+
+func (p *part) quotaTaken(t *core.Turn, id core.RequestID) {
+	r := p.requests[id]
+	if r == nil || r.stage != stageQuota {
+		return
+	}
+	r.charged = r.cost > 0 && r.account.ID != ""
+	if r.once != "" {
+		r.stage = stageOnce
+		t.Post(core.OnceWanted{Request: r.ID, Attempt: r.onceAttempt(), Key: r.once, Body: r.Body})
+		return
+	}
+	p.askPlace(t, r)
+}
+
+func (p *part) onceGranted(t *core.Turn, id core.RequestID) {
+	r := p.requests[id]
+	if r == nil || r.stage != stageOnce {
+		return
+	}
+	if r.gone {
+		p.refuse(t, r, core.Fail(core.KindCancelled, "the caller is gone"))
+		return
+	}
+	p.askPlace(t, r)
+}
+
+func (p *part) onceRefused(t *core.Turn, e core.OnceRefused) {
+	r := p.requests[e.Request]
+	if r == nil || r.stage != stageOnce {
+		return
+	}
+	r.once = ""
+	if e.Failure != nil {
+		p.refuse(t, r, e.Failure)
+		return
+	}
+	t.Decide(core.Decision{Part: "entry", Choice: "stored", Reason: "the call ran before", Request: r.ID, Account: r.account.ID, Pool: r.pool})
+	t.Do(core.GiveStored{Request: r.ID, Answer: *e.Stored})
+	p.end(t, r)
+}
+
+// askPlace starts the next attempt.
+func (p *part) askPlace(t *core.Turn, r *request) {
+	r.newAttempt(t.Now)
+	r.stage = stagePlace
+	p.sendAsk(t, r)
+}
+
+func (p *part) sendAsk(t *core.Turn, r *request) {
+	r.resend = t.Now.Add(placeResend)
+	r.owner = p.ownerOf(r.pool)
+	r.ask.Left = r.Deadline.Sub(t.Now)
+	t.Send(r.owner.host, r.ask)
+}
+
+func (p *part) ownerOf(pool core.PoolID) owner {
+	m, _ := dispatch.Owner(pool, p.members)
+	return owner{host: m.Host, boot: m.Boot}
+}
+
+func (p *part) placed(t *core.Turn, from core.HostID, m core.Placed) {
+	r := p.requests[m.Attempt.Request]
+	if r == nil || r.attemptID() != m.Attempt || (r.stage == stagePlace && r.gone) {
+		t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: poolOf(r)})
+		return
+	}
+	if r.stage != stagePlace {
+		return
+	}
+	r.placed = m
+	r.owner.host = from
+	if r.service {
+		r.stage = stageCall
+		fresh := !r.route.Repeatable
+		t.Do(core.RunCall{Attempt: m.Attempt, Upstream: m.DecodeAddr, Timeout: r.route.Timeout, Fresh: fresh})
+		return
+	}
+	r.stage = stagePrefill
+	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
+}
+
+func poolOf(r *request) core.PoolID {
+	if r == nil {
+		return ""
+	}
+	return r.pool
+}
+
+func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
+	r := p.requests[m.Attempt.Request]
+	if r == nil || r.attemptID() != m.Attempt || r.stage != stagePlace {
+		return
+	}
+	f := m.Failure
+	f.NotRun = !r.ran
+	p.refuse(t, r, &f)
+}
+
+func (p *part) prefillEnded(t *core.Turn, e core.PrefillEnded) {
+	r := p.requests[e.Attempt.Request]
+	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
+		return
+	}
+	if e.Failure != nil {
+		p.attemptFailed(t, r, e.Failure, r.placed.Prefill)
+		return
+	}
+	r.ran = true
+	if r.prompt == 0 {
+		r.prompt = e.Prompt
+	}
+	p.sendDone(t, r, core.PlaceDone{PrefillOnly: true})
+	r.stage = stageDecode
+	t.Do(core.RunDecode{
+		Attempt: e.Attempt, Upstream: r.placed.DecodeAddr, Epoch: r.placed.Epoch, KV: e.KV,
+		Max: r.output - r.relayed, Silence: tokenSilence,
+	})
+}
+
+func (p *part) decodeEnded(t *core.Turn, e core.DecodeEnded) {
+	r := p.requests[e.Attempt.Request]
+	if r == nil || r.attemptID() != e.Attempt || r.stage != stageDecode {
+		return
+	}
+	r.relayed = e.Relayed
+	if e.Failure == nil {
+		p.sendDone(t, r, core.PlaceDone{Output: r.relayed})
+		p.finish(t, r)
+		return
+	}
+	if e.Broken && r.resumes < maxResumes {
+		r.resumes++
+		t.Decide(core.Decision{Part: "entry", Choice: "resume", Reason: e.Failure.Message, Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Decode)})
+		t.Do(core.RunDecode{
+			Attempt: e.Attempt, Upstream: r.placed.DecodeAddr, Epoch: r.placed.Epoch,
+			Max: r.output - r.relayed, Resume: true, Silence: tokenSilence,
+		})
+		return
+	}
+	p.attemptFailed(t, r, e.Failure, r.placed.Decode)
+}
+
+func (p *part) callEnded(t *core.Turn, e core.CallEnded) {
+	r := p.requests[e.Attempt.Request]
+	if r == nil || r.attemptID() != e.Attempt || r.stage != stageCall {
+		return
+	}
+	if e.Failure != nil {
+		p.attemptFailed(t, r, e.Failure, r.placed.Decode)
+		return
+	}
+	r.ran = true
+	p.sendDone(t, r, core.PlaceDone{})
+	if r.once == "" {
+		p.finish(t, r)
+		return
+	}
+	r.stage = stageKeep
+	t.Post(core.OnceOutcome{Request: r.ID, Key: r.once, Body: r.Body, Attempt: r.onceAttempt(), State: core.OnceDone, Answer: e.Answer})
+}
+
+func (p *part) onceKept(t *core.Turn, id core.RequestID) {
+	if r := p.requests[id]; r != nil && r.stage == stageKeep {
+		r.once = ""
+		p.finish(t, r)
+	}
+}
+
+// attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
+func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
+	blame := failed
+	if f.Kind == core.KindBadRequest || f.Kind == core.KindUpstreamRefused {
+		blame = ""
+	}
+	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame})
+	r.ran = r.ran || !f.NotRun
+	if r.mayRetry(f) && p.budget(r.pool).spend() {
+		r.avoid = append(r.avoid, failed)
+		t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
+		p.askPlace(t, r)
+		return
+	}
+	out := *f
+	if r.service && !r.route.Repeatable && !f.NotRun {
+		out.Kind = core.KindOutcomeUnknown
+	}
+	out.NotRun = !r.ran
+	p.refuse(t, r, &out)
+}
+
+func (p *part) budget(pool core.PoolID) *budget {
+	b := p.budgets[pool]
+	if b == nil {
+		b = &budget{credit: budgetMost}
+		p.budgets[pool] = b
+	}
+	return b
+}
+
+// refuse answers with an error and ends the request; a recorded call is resolved by what is known of it.
+func (p *part) refuse(t *core.Turn, r *request, f *core.Failure) {
+	if r == nil {
+		return
+	}
+	if r.once != "" && r.stage >= stageOnce {
+		state := core.OnceUnknown
+		if f.NotRun || !r.ran {
+			state = core.OnceNotRun
+		}
+		t.Post(core.OnceOutcome{Request: r.ID, Key: r.once, Body: r.Body, Attempt: r.onceAttempt(), State: state})
+	}
+	t.Decide(core.Decision{Part: "entry", Choice: "refuse", Reason: f.Error(), Request: r.ID, Attempt: r.ask.Attempt.Number, Account: r.account.ID, Pool: r.pool})
+	t.Do(core.Refuse{Request: r.ID, Failure: f})
+	p.end(t, r)
+}
+
+func (p *part) finish(t *core.Turn, r *request) {
+	p.budget(r.pool).earn()
+	t.Do(core.Finish{Request: r.ID})
+	p.end(t, r)
+}
+
+// end forgets a request and credits what it did not use.
+func (p *part) end(t *core.Turn, r *request) {
+	delete(p.requests, r.ID)
+	if back := r.cost - r.used(); r.charged && back > 0 {
+		t.Post(core.QuotaBack{Account: r.account.ID, Amount: back})
+	}
+	p.checkDrained(t)
+}
+
+func (p *part) checkDrained(t *core.Turn) {
+	if p.draining && !p.drained && len(p.requests) == 0 {
+		p.drained = true
+		t.Post(core.Drained{})
+		t.Do(core.Drained{})
+	}
+}
+
+// callerGone frees what the request holds. A call at a plain service can't be taken back and runs to its end, so that
+// its outcome can be recorded.
+func (p *part) callerGone(t *core.Turn, id core.RequestID) {
+	r := p.requests[id]
+	if r == nil || r.gone {
+		return
+	}
+	r.gone = true
+	gone := core.Fail(core.KindCancelled, "the caller is gone")
+	switch r.stage {
+	case stageQuota:
+		t.Post(core.QuotaForget{Request: id})
+		p.refuse(t, r, gone)
+	case stagePlace:
+		p.sendDone(t, r, core.PlaceDone{})
+		p.refuse(t, r, gone)
+	case stagePrefill, stageDecode:
+		r.ran = true
+		p.sendDone(t, r, core.PlaceDone{Cancel: true})
+		p.refuse(t, r, gone)
+	}
+}
+
+// refuseWithdrawn refuses the requests that have not started when their key is withdrawn.
+func (p *part) refuseWithdrawn(t *core.Turn) {
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		r := p.requests[id]
+		if r.account.ID == "" || (r.stage != stageQuota && r.stage != stagePlace) {
+			continue
+		}
+		if _, ok := p.tables.KeyByHash(r.Key); ok {
+			continue
+		}
+		p.stopWaiting(t, r, core.Fail(core.KindBadKey, "the key was withdrawn"))
+	}
+}
+
+// stopWaiting refuses a request that waits for tokens or for a place.
+func (p *part) stopWaiting(t *core.Turn, r *request, f *core.Failure) {
+	if r.stage == stageQuota {
+		t.Post(core.QuotaForget{Request: r.ID})
+	} else {
+		p.sendDone(t, r, core.PlaceDone{})
+	}
+	p.refuse(t, r, f)
+}
+
+func (p *part) gauges(set func(string, int64)) {
+	set("requests", int64(len(p.requests)))
+	set("donesOpen", int64(len(p.dones)))
+}
--- /dev/null
+++ b/core/entry/owners.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	// doneResend is how often a PlaceDone is repeated until it is acknowledged; doneFor bounds it, after which the
+	// dispatcher has either gone or found the attempt missing from the engines' reports.
+	doneResend = 500 * time.Millisecond
+	doneFor    = 15 * time.Second
+)
+
+// doneKey names a PlaceDone; an attempt has one for its prefill and one for the rest.
+type doneKey struct {
+	attempt     core.AttemptID
+	prefillOnly bool
+}
+
+// pendingDone is a PlaceDone that the dispatcher has not acknowledged.
+type pendingDone struct {
+	to     owner
+	done   core.PlaceDone
+	resend time.Time
+	till   time.Time
+}
+
+// sendDone gives an attempt's place, or the prefill's share of it, back to the dispatcher.
+func (p *part) sendDone(t *core.Turn, r *request, d core.PlaceDone) {
+	d.Attempt, d.Pool = r.attemptID(), r.pool
+	p.dones[doneKey{attempt: d.Attempt, prefillOnly: d.PrefillOnly}] = &pendingDone{
+		to: r.owner, done: d, resend: t.Now.Add(doneResend), till: t.Now.Add(doneFor),
+	}
+	t.Send(r.owner.host, d)
+}
+
+// ownersChanged asks a pool's new dispatcher again and claims the places of the attempts that run.
+func (p *part) ownersChanged(t *core.Turn) {
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		r := p.requests[id]
+		if r.stage < stagePlace || p.ownerOf(r.pool) == r.owner {
+			continue
+		}
+		if r.stage == stagePlace {
+			p.sendAsk(t, r)
+			continue
+		}
+		r.owner = p.ownerOf(r.pool)
+		if r.stage != stageKeep {
+			t.Send(r.owner.host, core.Claim{Ask: r.ask, Placed: r.placed, Decoding: r.stage == stageDecode})
+		}
+	}
+	for _, k := range sortedDones(p.dones) {
+		d := p.dones[k]
+		if now := p.ownerOf(d.done.Pool); now != d.to {
+			d.to = now
+			t.Send(now.host, d.done)
+		}
+	}
+}
+
+func sortedDones(m map[doneKey]*pendingDone) []doneKey {
+	return slices.SortedFunc(maps.Keys(m), func(a, b doneKey) int {
+		if c := cmp.Compare(a.attempt.Request, b.attempt.Request); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.attempt.Number, b.attempt.Number); c != 0 {
+			return c
+		}
+		if a.prefillOnly == b.prefillOnly {
+			return 0
+		}
+		if a.prefillOnly {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (p *part) tick(t *core.Turn) {
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		r := p.requests[id]
+		waits := r.stage == stageQuota || r.stage == stagePlace
+		if waits && core.Due(r.Deadline, t.Now) {
+			f := core.Fail(core.KindDeadline, "the request could not start in time")
+			f.NotRun = !r.ran
+			p.stopWaiting(t, r, f)
+			continue
+		}
+		if r.stage == stagePlace && core.Due(r.resend, t.Now) {
+			p.sendAsk(t, r)
+		}
+	}
+	for _, k := range sortedDones(p.dones) {
+		d := p.dones[k]
+		if core.Due(d.till, t.Now) {
+			delete(p.dones, k)
+			continue
+		}
+		if core.Due(d.resend, t.Now) {
+			d.resend = t.Now.Add(doneResend)
+			t.Send(d.to.host, d.done)
+		}
+	}
+}
+
+func (p *part) nextDeadline() time.Time {
+	var next time.Time
+	for _, r := range p.requests {
+		switch r.stage {
+		case stageQuota:
+			next = core.Earlier(next, r.Deadline)
+		case stagePlace:
+			next = core.Earlier(next, core.Earlier(r.Deadline, r.resend))
+		}
+	}
+	for _, d := range p.dones {
+		next = core.Earlier(next, core.Earlier(d.resend, d.till))
+	}
+	return next
+}
--- /dev/null
+++ b/core/entry/request.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+// stage is how far a request has come.
+type stage uint8
+
+const (
+	stageQuota stage = iota
+	stageOnce
+	stagePlace
+	stagePrefill
+	stageDecode
+	stageCall
+	stageKeep
+)
+
+const (
+	maxAttempts = 4
+	// maxResumes bounds how often a stream is resumed at the same engine.
+	maxResumes     = 2
+	prefillTimeout = 30 * time.Second
+	tokenSilence   = 2 * time.Second
+	placeResend    = 300 * time.Millisecond
+)
+
+// request is a caller's request on its way.
+type request struct {
+	core.Request
+	admitted
+	stage   stage
+	once    core.OnceKey
+	charged bool
+	// ask and placed are the attempt's words with the dispatcher; owner is who dispatches.
+	ask    core.PlaceAsk
+	placed core.Placed
+	owner  owner
+	resend time.Time
+	// relayed is how many tokens the caller has; prompt is the prompt's length as the engine counted it.
+	relayed core.Tokens
+	prompt  core.Tokens
+	resumes int
+	avoid   []core.UpstreamID
+	gone    bool
+	// ran is true once a byte of an attempt may have reached an upstream.
+	ran bool
+}
+
+// owner is a dispatcher as an entry host knows it; a new start is another dispatcher.
+type owner struct {
+	host core.HostID
+	boot uint64
+}
+
+func (r *request) attemptID() core.AttemptID { return r.ask.Attempt }
+
+// onceAttempt is the attempt under which the whole request is recorded as one call.
+func (r *request) onceAttempt() core.AttemptID { return core.AttemptID{Request: r.ID, Number: 1} }
+
+// newAttempt makes the next attempt's words to the dispatcher.
+func (r *request) newAttempt(now time.Time) {
+	r.ask = core.PlaceAsk{
+		Attempt: core.AttemptID{Request: r.ID, Number: r.ask.Attempt.Number + 1},
+		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
+		Prompt: r.Prompt + r.relayed, Output: r.output - r.relayed, Blocks: r.Blocks,
+		Service: r.service, Avoid: r.avoid, Left: r.Deadline.Sub(now),
+	}
+	r.placed = core.Placed{}
+	r.resumes = 0
+}
+
+// mayRetry reports whether a failed attempt may be followed by another one.
+func (r *request) mayRetry(f *core.Failure) bool {
+	if r.gone || r.ask.Attempt.Number >= maxAttempts || f.Kind == core.KindBadRequest {
+		return false
+	}
+	if !r.service || r.route.Repeatable {
+		return true
+	}
+	return f.NotRun && r.once != ""
+}
+
+// used is what a request that is over counts for in its account's bucket.
+func (r *request) used() core.Tokens {
+	switch {
+	case !r.ran:
+		return 0
+	case r.service:
+		return r.cost
+	}
+	return min(r.cost, max(r.prompt, r.Prompt)+r.relayed)
+}
+
+// budget limits retries to a share of the answered requests, so that retries can't multiply an overload.
+type budget struct{ credit float64 }
+
+const (
+	budgetMost  = 20.0
+	budgetShare = 0.1
+)
+
+func (b *budget) earn() { b.credit = min(budgetMost, b.credit+budgetShare) }
+
+func (b *budget) spend() bool {
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
--- /dev/null
+++ b/core/lease/grantor.go
@@ -0,0 +1,155 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+// keepChanges is how many changes a keeper holds to bring hosts up to date without sending whole tables.
+const keepChanges = 512
+
+// waiting is a LeaseAsk that waits for the leader's confirmation.
+type waiting struct {
+	from core.HostID
+	ask  core.LeaseAsk
+}
+
+// held is what the leader knows of one lease holder.
+type held struct {
+	version core.Version
+	until   time.Time
+}
+
+// grantor is the part of a keeper that gives leases while it leads.
+type grantor struct {
+	self    core.HostID
+	leading bool
+	leader  core.HostID
+	epoch   core.Epoch
+	// since is when this host took over; leases of the leader before it may run for Time after that.
+	since   time.Time
+	tables  *core.Tables
+	changes []core.Change
+	tag     uint64
+	open    bool
+	batch   []waiting
+	next    []waiting
+	holders map[core.HostID]held
+}
+
+func (g *grantor) leaderChanged(t *core.Turn, e core.LeaderChanged) {
+	g.leading, g.leader, g.epoch = e.Self, e.Leader, e.Epoch
+	g.open, g.batch, g.next = false, nil, nil
+	g.since = t.Now
+	clear(g.holders)
+}
+
+func (g *grantor) applied(t *core.Turn, e core.ConfigApplied) {
+	if e.Change.Kind == 0 {
+		g.changes = nil
+	} else {
+		g.changes = append(g.changes, e.Change)
+	}
+	if len(g.changes) > keepChanges {
+		g.changes = slices.Delete(g.changes, 0, len(g.changes)-keepChanges)
+	}
+	g.tables = e.Tables
+	if !g.leading {
+		return
+	}
+	for _, h := range slices.Sorted(maps.Keys(g.holders)) {
+		t.Send(h, core.LeaseHint{Version: g.tables.Version})
+	}
+}
+
+// asked collects asks, so that one round of confirmation serves all that came in the meantime.
+func (g *grantor) asked(t *core.Turn, from core.HostID, m core.LeaseAsk) {
+	if !g.leading {
+		t.Send(from, core.LeaseRedirect{Leader: g.leader})
+		return
+	}
+	g.next = append(g.next, waiting{from: from, ask: m})
+	g.confirmNext(t)
+}
+
+func (g *grantor) confirmNext(t *core.Turn) {
+	if g.open || len(g.next) == 0 {
+		return
+	}
+	g.open = true
+	g.tag++
+	g.batch, g.next = g.next, nil
+	t.Post(core.Confirm{Tag: confirmTag | g.tag})
+}
+
+// confirmTag marks this part's confirmations among those of other parts.
+const confirmTag = uint64(1) << 62
+
+func (g *grantor) confirmed(t *core.Turn, tag uint64) {
+	if !g.leading || !g.open || tag != confirmTag|g.tag {
+		return
+	}
+	g.open = false
+	for _, w := range g.batch {
+		g.grant(t, w)
+	}
+	g.batch = nil
+	g.confirmNext(t)
+}
+
+func (g *grantor) grant(t *core.Turn, w waiting) {
+	m := core.LeaseGrant{Ask: w.ask.Ask, Leader: g.self, Epoch: g.epoch, Version: g.tables.Version}
+	behind := g.tables.Version - w.ask.Have
+	switch {
+	case w.ask.Have > g.tables.Version:
+		return
+	case behind <= core.Version(len(g.changes)):
+		m.Changes = g.changes[len(g.changes)-int(behind):]
+	default:
+		m.Tables = g.tables
+	}
+	g.holders[w.from] = held{version: w.ask.Have, until: t.Now.Add(Time)}
+	t.Send(w.from, m)
+}
+
+// inForce returns the version that every host which may act on a lease has.
+func (g *grantor) inForce(now time.Time) core.Version {
+	if now.Sub(g.since) < Time {
+		return 0
+	}
+	v := g.tables.Version
+	for h, s := range g.holders {
+		if now.After(s.until) {
+			delete(g.holders, h)
+			continue
+		}
+		v = min(v, s.version)
+	}
+	return v
+}
+
+func (g *grantor) statusAsked(t *core.Turn, from core.HostID, m core.StatusAsk) {
+	if !g.leading {
+		return
+	}
+	s := t.SaveSnapshot()
+	status := core.Status{
+		Leader: g.self, Epoch: g.epoch, Version: g.tables.Version, InForce: g.inForce(t.Now),
+		Keepers: s.Keepers.Members, History: latest(s.Commands), Tables: s.Tables,
+	}
+	for _, h := range slices.Sorted(maps.Keys(g.holders)) {
+		hs := g.holders[h]
+		status.Holders = append(status.Holders, core.HolderStatus{Host: h, Version: hs.version, Left: hs.until.Sub(t.Now)})
+	}
+	t.Send(from, core.StatusReply{Ticket: m.Ticket, Status: status})
+}
+
+// historyShown is how many commands a status lists.
+const historyShown = 64
+
+func latest(results []core.CommandResult) []core.CommandResult {
+	return results[max(0, len(results)-historyShown):]
+}
--- /dev/null
+++ b/core/lease/holder.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+// Timing of configuration leases. A withdrawn key stops working on a host that is cut off after Time at the latest.
+const (
+	Time  = 3 * time.Second
+	Renew = 500 * time.Millisecond
+)
+
+// maxAsks bounds the unanswered asks that a host remembers; older ones could not extend the lease any more.
+const maxAsks = 16
+
+// asking is one LeaseAsk that was sent.
+type asking struct {
+	ask uint64
+	at  time.Time
+}
+
+// holder is the part of every host that asks for the lease.
+//
+// The lease counts from when the host asked, on its own monotonic clock, and the leader confirms to a majority after
+// the ask that it still leads. So no two clocks are compared, and a leader that was cut off can't extend a lease.
+// Pushing each change to all hosts and waiting for their answers was rejected: one silent host would hold up a change.
+type holder struct {
+	self    core.HostID
+	keepers []core.HostID
+	turn    int
+	leader  core.HostID
+	epoch   core.Epoch
+	next    uint64
+	asks    []asking
+	renew   time.Time
+	until   time.Time
+	tables  *core.Tables
+}
+
+func (h *holder) ask(t *core.Turn) {
+	h.renew = t.Now.Add(Renew)
+	to := h.leader
+	if to == "" && len(h.keepers) > 0 {
+		to = h.keepers[h.turn%len(h.keepers)]
+		h.turn++
+	}
+	h.next++
+	h.asks = append(h.asks, asking{ask: h.next, at: t.Now})
+	if len(h.asks) > maxAsks {
+		h.asks = slices.Delete(h.asks, 0, 1)
+	}
+	if len(h.asks) > 2 {
+		h.leader = ""
+	}
+	t.Send(to, core.LeaseAsk{Ask: h.next, Have: h.tables.Version})
+}
+
+func (h *holder) redirected(t *core.Turn, m core.LeaseRedirect) {
+	if m.Leader == "" || m.Leader == h.leader {
+		return
+	}
+	h.leader = m.Leader
+	h.ask(t)
+}
+
+func (h *holder) granted(t *core.Turn, m core.LeaseGrant) {
+	i := slices.IndexFunc(h.asks, func(a asking) bool { return a.ask == m.Ask })
+	if i < 0 {
+		return
+	}
+	at := h.asks[i].at
+	h.asks = slices.Delete(h.asks, 0, i+1)
+	if m.Version < h.tables.Version || !h.update(t, m) {
+		return
+	}
+	if until := at.Add(Time); until.After(h.until) {
+		h.until = until
+		t.Post(core.LeaseChanged{Until: until})
+	}
+	if h.leader != m.Leader || h.epoch != m.Epoch {
+		h.leader, h.epoch = m.Leader, m.Epoch
+		t.Post(core.LeaderKnown{Leader: m.Leader, Epoch: m.Epoch})
+	}
+}
+
+// update brings the tables to the version of the grant and reports whether they are there.
+func (h *holder) update(t *core.Turn, m core.LeaseGrant) bool {
+	if m.Version == h.tables.Version {
+		return true
+	}
+	next := h.tables
+	if m.Tables != nil {
+		copied := *m.Tables
+		copied.Index()
+		next = &copied
+	}
+	for i := range m.Changes {
+		applied, err := next.Apply(&m.Changes[i])
+		if err != nil {
+			return false
+		}
+		next = applied
+	}
+	if next.Version != m.Version {
+		return false
+	}
+	h.tables = next
+	// The next ask tells the leader that the version is in force here.
+	h.renew = t.Now
+	t.Post(core.TablesChanged{Tables: next})
+	return true
+}
--- /dev/null
+++ b/core/member/doc.go
@@ -0,0 +1,2 @@
+// Package member is the plug-in that knows which hosts are alive.
+package member
--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,310 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	// askEvery is how often a host with something to ask or to settle speaks to the owner.
+	askEvery = 200 * time.Millisecond
+	// Wait is how long a request waits for a grant before it is refused.
+	Wait = 10 * time.Second
+	// idleAfter is how long an amount at hand is kept without use.
+	idleAfter = time.Second
+	// maxWaiting bounds the requests of one account that wait on one host.
+	maxWaiting = 1024
+)
+
+// grant is an amount at hand.
+type grant struct {
+	amount core.Tokens
+	till   time.Time
+	// epoch is the owner's that lent it; only that owner is told what became of it.
+	epoch core.Epoch
+}
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	request core.RequestID
+	cost    core.Tokens
+	till    time.Time
+	// denied is true once the owner said that the bucket is empty.
+	denied bool
+}
+
+// account is what one host holds of an account's tokens.
+type account struct {
+	grants  []grant
+	waiters []waiter
+	// unused, spent and refund go to the owner with the next ask.
+	unused core.Tokens
+	spent  core.Tokens
+	refund core.Tokens
+	// demand is a moving average of the tokens taken a second.
+	demand float64
+	taken  core.Tokens
+	used   time.Time
+	asked  time.Time
+	// ready is when asking the owner again is worth it.
+	ready time.Time
+}
+
+// holder spends borrowed amounts for the requests of one host.
+type holder struct {
+	self     core.HostID
+	boot     uint64
+	leader   core.HostID
+	epoch    core.Epoch
+	tables   *core.Tables
+	accounts map[core.AccountID]*account
+	ask      uint64
+	asks     map[uint64]time.Time
+	next     time.Time
+}
+
+func (h *holder) wanted(t *core.Turn, e core.QuotaWanted) {
+	limit, ok := h.tables.Account(e.Account)
+	if !ok {
+		h.deny(t, e.Request, core.Fail(core.KindBadKey, "the client account is gone"))
+		return
+	}
+	if e.Cost > limit.Burst {
+		h.deny(t, e.Request, core.Fail(core.KindOverRate, "the request takes %d tokens, the burst is %d", e.Cost, limit.Burst))
+		return
+	}
+	a := h.accounts[e.Account]
+	if a == nil {
+		a = &account{used: t.Now}
+		h.accounts[e.Account] = a
+	}
+	if len(a.waiters) >= maxWaiting {
+		h.deny(t, e.Request, core.Fail(core.KindOverRate, "too many requests of the client account wait"))
+		return
+	}
+	a.waiters = append(a.waiters, waiter{request: e.Request, cost: e.Cost, till: t.Now.Add(Wait)})
+	a.used = t.Now
+	h.serve(t, a)
+	if len(a.waiters) > 0 && !t.Now.Before(a.ready) {
+		a.ready = t.Now.Add(askEvery)
+		h.next = t.Now
+		h.tick(t)
+	}
+}
+
+func (h *holder) deny(t *core.Turn, r core.RequestID, f *core.Failure) {
+	t.Post(core.QuotaDenied{Request: r, Failure: f})
+}
+
+// serve gives amounts at hand to the waiting requests in the order of their arrival.
+func (h *holder) serve(t *core.Turn, a *account) {
+	a.expire(t.Now, h.epoch)
+	for len(a.waiters) > 0 && a.take(a.waiters[0].cost, h.epoch) {
+		t.Post(core.QuotaTaken{Request: a.waiters[0].request})
+		a.waiters = slices.Delete(a.waiters, 0, 1)
+	}
+}
+
+// expire discards amounts whose lease has run out; the owner hears of them as unused.
+func (a *account) expire(now time.Time, owner core.Epoch) {
+	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool {
+		if now.Before(g.till) {
+			return false
+		}
+		if g.epoch == owner {
+			a.unused += g.amount
+		}
+		return true
+	})
+}
+
+func (a *account) atHand() core.Tokens {
+	var sum core.Tokens
+	for _, g := range a.grants {
+		sum += g.amount
+	}
+	return sum
+}
+
+// take spends from the amounts that run out first.
+func (a *account) take(cost core.Tokens, owner core.Epoch) bool {
+	if a.atHand() < cost {
+		return false
+	}
+	a.taken += cost
+	for i := range a.grants {
+		part := min(cost, a.grants[i].amount)
+		a.grants[i].amount -= part
+		cost -= part
+		if a.grants[i].epoch == owner {
+			a.spent += part
+		}
+	}
+	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.amount == 0 })
+	return true
+}
+
+func (h *holder) tick(t *core.Turn) {
+	if !core.Due(h.next, t.Now) {
+		return
+	}
+	h.next = time.Time{}
+	ask := core.QuotaAsk{Boot: h.boot, Epoch: h.epoch}
+	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
+		a := h.accounts[id]
+		h.refuseLate(t, a)
+		if line, ok := a.line(t.Now, id, h.epoch); ok {
+			ask.Lines = append(ask.Lines, line)
+		}
+		if a.idle(t.Now) {
+			delete(h.accounts, id)
+			continue
+		}
+		h.next = t.Now.Add(askEvery)
+	}
+	if len(ask.Lines) > 0 && h.leader != "" {
+		h.send(t, ask)
+	}
+}
+
+func (h *holder) send(t *core.Turn, ask core.QuotaAsk) {
+	h.ask++
+	ask.Ask = h.ask
+	h.asks[ask.Ask] = t.Now
+	for n, at := range h.asks {
+		if t.Now.Sub(at) >= Lease {
+			delete(h.asks, n)
+		}
+	}
+	t.Send(h.leader, ask)
+}
+
+func (h *holder) refuseLate(t *core.Turn, a *account) {
+	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool {
+		if !core.Due(w.till, t.Now) {
+			return false
+		}
+		f := core.Fail(core.KindNotReady, "no host that lends tokens answers")
+		if w.denied {
+			f = core.Fail(core.KindOverRate, "the client account is over its rate")
+		}
+		h.deny(t, w.request, f)
+		return true
+	})
+}
+
+// line makes the account's part of an ask and hands over what is to be settled.
+func (a *account) line(now time.Time, id core.AccountID, owner core.Epoch) (core.QuotaLine, bool) {
+	a.expire(now, owner)
+	a.measureDemand(now)
+	if now.Sub(a.used) >= idleAfter && len(a.waiters) == 0 {
+		a.giveBack(owner)
+	}
+	l := core.QuotaLine{Account: id, Unused: a.unused, Spent: a.spent, Refund: a.refund}
+	hand := a.atHand()
+	if len(a.waiters) > 0 {
+		l.Need = max(0, a.waiters[0].cost-hand)
+	}
+	ahead := core.Tokens(a.demand * idleAfter.Seconds())
+	for _, w := range a.waiters {
+		ahead += w.cost
+	}
+	l.Want = max(l.Need, ahead-hand)
+	a.unused, a.spent, a.refund = 0, 0, 0
+	return l, l.Want > 0 || l.Unused > 0 || l.Spent > 0 || l.Refund > 0
+}
+
+func (a *account) measureDemand(now time.Time) {
+	span := now.Sub(a.asked).Seconds()
+	if span <= 0 {
+		return
+	}
+	keep := math.Exp(-span / idleAfter.Seconds())
+	a.demand = a.demand*keep + float64(a.taken)/span*(1-keep)
+	a.taken, a.asked = 0, now
+}
+
+// giveBack returns what is at hand without use.
+func (a *account) giveBack(owner core.Epoch) {
+	for _, g := range a.grants {
+		if g.epoch == owner {
+			a.unused += g.amount
+		}
+	}
+	a.grants, a.demand = nil, 0
+}
+
+func (a *account) idle(now time.Time) bool {
+	return len(a.waiters) == 0 && len(a.grants) == 0 && now.Sub(a.used) >= idleAfter
+}
+
+func (h *holder) granted(t *core.Turn, m core.QuotaGrant) {
+	at, ok := h.asks[m.Ask]
+	if !ok {
+		return
+	}
+	delete(h.asks, m.Ask)
+	if m.Epoch != h.epoch {
+		h.newEpoch(m.Epoch)
+	}
+	for _, l := range m.Lines {
+		a := h.accounts[l.Account]
+		if a == nil {
+			a = &account{used: t.Now}
+			h.accounts[l.Account] = a
+		}
+		h.lent(t, a, at, l)
+	}
+	if h.next.IsZero() && len(h.accounts) > 0 {
+		h.next = t.Now.Add(askEvery)
+	}
+}
+
+// newEpoch forgets what was to be settled with an owner that is gone; amounts at hand stay until their lease ends.
+func (h *holder) newEpoch(e core.Epoch) {
+	h.epoch = e
+	for _, a := range h.accounts {
+		a.unused, a.spent, a.refund = 0, 0, 0
+	}
+}
+
+func (h *holder) lent(t *core.Turn, a *account, at time.Time, l core.QuotaLent) {
+	if l.Lent > 0 {
+		a.grants = append(a.grants, grant{amount: l.Lent, till: at.Add(Lease), epoch: h.epoch})
+	}
+	h.serve(t, a)
+	if len(a.waiters) == 0 {
+		return
+	}
+	for i := range a.waiters {
+		a.waiters[i].denied = true
+	}
+	a.ready = t.Now.Add(min(l.Ready, askEvery))
+	if l.Ready < askEvery {
+		h.next = core.Earlier(h.next, t.Now.Add(max(l.Ready, time.Millisecond)))
+	}
+}
+
+// back credits what an answer did not use.
+func (h *holder) back(t *core.Turn, e core.QuotaBack) {
+	a := h.accounts[e.Account]
+	if a == nil {
+		a = &account{used: t.Now}
+		h.accounts[e.Account] = a
+	}
+	a.refund += e.Amount
+	if h.next.IsZero() {
+		h.next = t.Now.Add(askEvery)
+	}
+}
+
+// forget drops a request that no longer waits.
+func (h *holder) forget(r core.RequestID) {
+	for _, a := range h.accounts {
+		a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return w.request == r })
+	}
+}
--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+const rank = 40
+
+type part struct {
+	holder holder
+	owner  owner
+}
+
+func init() { core.Register(Plugin(false)) }
+
+// Plugin returns the plug-in; relend, for tests only, lets a new owner lend before the old loans have run out.
+func Plugin(relend bool) core.Plugin {
+	return core.Plugin{Name: "quota", Rank: rank, New: func(env core.Env) core.Part { return newPart(env, relend) }}
+}
+
+func newPart(env core.Env, relend bool) core.Part {
+	empty := &core.Tables{}
+	p := &part{
+		holder: holder{
+			self: env.Self, boot: env.Boot, tables: empty,
+			accounts: map[core.AccountID]*account{}, asks: map[uint64]time.Time{},
+		},
+		owner: owner{relend: relend, tables: empty},
+	}
+	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
+}
+
+func (p *part) handle(t *core.Turn, ev core.Event) {
+	switch e := ev.(type) {
+	case core.TablesChanged:
+		p.holder.tables, p.owner.tables = e.Tables, e.Tables
+	case core.ConfigApplied:
+		p.owner.created(t, e)
+	case core.LeaderKnown:
+		p.holder.leader = e.Leader
+	case core.LeaderChanged:
+		p.owner.leaderChanged(t, e)
+	case core.Confirmed:
+		p.owner.confirmed(t, e.Tag)
+	case core.QuotaWanted:
+		p.holder.wanted(t, e)
+	case core.QuotaBack:
+		p.holder.back(t, e)
+	case core.QuotaForget:
+		p.holder.forget(e.Request)
+	case core.Tick:
+		p.holder.tick(t)
+	case core.Received:
+		p.receive(t, e.From, e.Message)
+	}
+}
+
+func (p *part) receive(t *core.Turn, from core.HostID, m core.Message) {
+	switch m := m.(type) {
+	case core.QuotaAsk:
+		p.owner.asked(t, from, m)
+	case core.QuotaGrant:
+		p.holder.granted(t, m)
+	}
+}
+
+func (p *part) nextDeadline() time.Time { return p.holder.next }
+
+func (p *part) gauges(set func(string, int64)) {
+	set("accountsAtHand", int64(len(p.holder.accounts)))
+	set("buckets", int64(len(p.owner.buckets)))
+}
--- /dev/null
+++ b/core/replica/log.go
@@ -0,0 +1,97 @@
+package replica
+
+import (
+	"slices"
+
+	"oleanderlever/core"
+)
+
+// entryLog is the log after the last snapshot.
+type entryLog struct {
+	// base and baseEpoch are the snapshot's last entry.
+	base      core.Index
+	baseEpoch core.Epoch
+	keepers   core.KeeperSet
+	entries   []core.Entry
+	snapshot  *core.Snapshot
+}
+
+func (l *entryLog) last() core.Index { return l.base + core.Index(len(l.entries)) }
+
+func (l *entryLog) lastEpoch() core.Epoch {
+	e, _ := l.epochAt(l.last())
+	return e
+}
+
+// epochAt returns the epoch of an entry, and false where the log does not reach it or has trimmed it.
+func (l *entryLog) epochAt(i core.Index) (core.Epoch, bool) {
+	if i == l.base {
+		return l.baseEpoch, true
+	}
+	if i < l.base || i > l.last() {
+		return 0, false
+	}
+	return l.entries[i-l.base-1].Epoch, true
+}
+
+// from returns the entries from an index on, at most the given size in bytes but at least one.
+func (l *entryLog) from(i core.Index, maxBytes int) []core.Entry {
+	rest := l.entries[i-l.base-1:]
+	size := 0
+	for n := range rest {
+		size += entryBytes + len(rest[n].Once.Answer.Body)
+		if n > 0 && size > maxBytes {
+			return slices.Clone(rest[:n])
+		}
+	}
+	return slices.Clone(rest)
+}
+
+// entryBytes estimates an entry without the body that it may carry.
+const entryBytes = 256
+
+// merge takes entries that follow prev and returns the ones that are new, after cutting off what disagrees.
+func (l *entryLog) merge(prev core.Index, entries []core.Entry) []core.Entry {
+	for n := range entries {
+		i := prev + core.Index(n) + 1
+		if i <= l.base {
+			continue
+		}
+		if e, ok := l.epochAt(i); ok && e == entries[n].Epoch {
+			continue
+		}
+		l.entries = append(l.entries[:i-l.base-1:i-l.base-1], entries[n:]...)
+		return entries[n:]
+	}
+	return nil
+}
+
+// trim drops everything that a snapshot covers.
+func (l *entryLog) trim(s *core.Snapshot) {
+	if s.Index >= l.last() {
+		l.entries = nil
+	} else {
+		l.entries = slices.Clone(l.entries[s.Index-l.base:])
+	}
+	l.base, l.baseEpoch, l.keepers, l.snapshot = s.Index, s.Epoch, s.Keepers, s
+}
+
+// keeperSet returns the latest keeper set in the log, committed or not, and the index of its entry.
+func (l *entryLog) keeperSet() (core.KeeperSet, core.Index) {
+	for n := len(l.entries) - 1; n >= 0; n-- {
+		if l.entries[n].Kind == core.EntryKeepers {
+			return l.entries[n].Keepers, l.entries[n].Index
+		}
+	}
+	return l.keepers, l.base
+}
+
+// keeperSetAt returns the keeper set as of an index.
+func (l *entryLog) keeperSetAt(i core.Index) core.KeeperSet {
+	for n := int(i-l.base) - 1; n >= 0; n-- {
+		if l.entries[n].Kind == core.EntryKeepers {
+			return l.entries[n].Keepers
+		}
+	}
+	return l.keepers
+}
