io: peers for callers, upstreams, hosts, operators, platform and disk, and stand-ins

Peers translate and decide nothing. One control goroutine owns the kernel; traffic goroutines post to a bounded mailbox and block on their own channel.

--- /dev/null
+++ b/io/console/console.go
@@ -0,0 +1,83 @@
+package console
+
+import (
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+)
+
+// addrPort is an address on the command line.
+type addrPort struct{ netip.AddrPort }
+
+// UnmarshalFlag parses an address such as 127.0.0.1:7000.
+func (a *addrPort) UnmarshalFlag(text string) error {
+	parsed, err := netip.ParseAddrPort(text)
+	a.AddrPort = parsed
+	return errors.Wrap(err, "want an IP number and a port")
+}
+
+// command is one entry of the command line.
+type command struct {
+	name  string
+	short string
+	data  any
+}
+
+func commands() []command {
+	return []command{
+		{"host", "Run a host", &hostCommand{}},
+		{"ctl", "Drive the system as an operator", &ctlCommand{}},
+		{"engine", "Run a stand-in model engine", &engineCommand{}},
+		{"service", "Run a stand-in plain service", &serviceCommand{}},
+
+		{"demo", "Show the whole path on loopback", &demoCommand{}},
+	}
+}
+
+// Main parses the command line, runs the command and returns the exit code.
+func Main(args []string) int {
+	p := flags.NewNamedParser("oleanderlever", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands() {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return report(os.Stderr, err)
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return report(os.Stderr, err)
+}
+
+func report(w io.Writer, err error) int {
+	if err == nil {
+		return 0
+	}
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		_, _ = io.WriteString(os.Stdout, help.Message+"\n")
+		return 0
+	}
+	_, _ = io.WriteString(w, "oleanderlever: "+err.Error()+"\n")
+	return 1
+}
+
+// newLog returns a logger of JSON lines with times to the microsecond.
+func newLog(w io.Writer, level, host string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Wrap(err, "logLevel")
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(zerolog.SyncWriter(w)).Level(l).With().Timestamp().Str("host", host).Logger(), nil
+}
+
+func addrs(list []addrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range list {
+		out = append(out, a.AddrPort)
+	}
+	return out
+}
--- /dev/null
+++ b/io/console/demo.go
@@ -0,0 +1,243 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleanderlever/core"
+	"oleanderlever/io/caller"
+	"oleanderlever/io/engine"
+	"oleanderlever/io/operator"
+	"oleanderlever/io/service"
+)
+
+type demoCommand struct {
+	Verbose bool `long:"verbose" description:"print the hosts' logs"`
+}
+
+const (
+	demoTimeout = time.Minute
+	demoAnswer  = 24
+	demoModel   = "verse-writer"
+)
+
+// demo is the running system and what a caller sees of it.
+type demo struct {
+	out     io.Writer
+	fleet   *fleet
+	engines []*engine.Engine
+	orders  *service.Service
+	ctl     *operator.Client
+	key     string
+}
+
+// Execute shows the whole path and fails unless each step came out as stated.
+func (c *demoCommand) Execute([]string) error {
+	log := io.Discard
+	if c.Verbose {
+		log = os.Stderr
+	}
+	folder, err := os.MkdirTemp("", "oleanderlever-demo-")
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	d := &demo{out: os.Stdout}
+	defer d.close()
+	if d.fleet, err = startFleet(3, folder, log); err != nil {
+		return err
+	}
+	return d.run(ctx)
+}
+
+func (d *demo) run(ctx context.Context) error {
+	steps := []struct {
+		says string
+		do   func(context.Context) error
+	}{
+		{"three hosts, two prefill and two decode engines, one order service", d.startUpstreams},
+		{"an operator makes an account, a key, a model and routes", d.configure},
+		{"a caller gets a streamed answer", d.stream},
+		{"a caller without a key is refused", d.noKey},
+		{"an order sent twice through two hosts ran once", d.orderTwice},
+		{"a call over the rate is refused", d.overRate},
+		{"a withdrawn key stops working", d.withdraw},
+	}
+	for _, s := range steps {
+		started := time.Now()
+		if err := s.do(ctx); err != nil {
+			return errors.Wrap(err, s.says)
+		}
+		_, _ = fmt.Fprintf(d.out, "ok  %-70s %6d ms\n", s.says, time.Since(started).Milliseconds())
+	}
+	return nil
+}
+
+func (d *demo) close() {
+	for _, e := range d.engines {
+		e.Stop()
+	}
+	if d.orders != nil {
+		d.orders.Stop()
+	}
+	if d.fleet != nil {
+		d.fleet.close()
+	}
+}
+
+func (d *demo) startUpstreams(context.Context) error {
+	hosts := d.fleet.upstreamAddrs()
+	local := d.fleet.settings[0].Listen.Callers.Addr()
+	for _, u := range []struct {
+		id   core.UpstreamID
+		role core.Role
+	}{{"prefill-1", core.RolePrefill}, {"prefill-2", core.RolePrefill}, {"decode-1", core.RoleDecode}, {"decode-2", core.RoleDecode}} {
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		e, err := engine.Start(engine.Config{
+			ID: u.id, Pool: demoModel, Role: u.role, DataCentre: "dc-1", Listen: addr, Hosts: hosts, Slots: 20, Pieces: 64,
+			PrefillPerToken: 20 * time.Microsecond, TokenTime: 5 * time.Millisecond, Answer: demoAnswer,
+		})
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, e)
+	}
+	addr, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	d.orders, err = service.Start(service.Config{ID: "orders-1", Pool: "print-desk", DataCentre: "dc-1", Listen: addr, Hosts: hosts, Slots: 8})
+	d.ctl = operator.NewClient(d.fleet.settings[1].Listen.Operators, "")
+	_, _ = fmt.Fprintf(d.out, "    hosts on %v, callers at %v\n", local, d.fleet.settings[0].Listen.Callers)
+	return err
+}
+
+func (d *demo) configure(ctx context.Context) error {
+	key, hash, err := operator.NewKey()
+	if err != nil {
+		return err
+	}
+	d.key = key
+	var last core.Version
+	for _, change := range []*operator.Change{
+		{Change: &operator.Change_PutAccount{PutAccount: &operator.Account{Id: "muscat-cards", Weight: 1, Rate: 2000, Burst: 2000}}},
+		{Change: &operator.Change_AddKey{AddKey: &operator.Key{Id: "shop-1", Account: "muscat-cards", Hash: hash[:]}}},
+		{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: demoModel, MaxOutput: 256}}},
+		{Change: &operator.Change_PutRoute{PutRoute: &operator.Route{Name: "orders", Path: "/orders", Pool: "print-desk", TimeoutMillis: 5000, Cost: 1}}},
+	} {
+		if last, err = d.applyOnceReady(ctx, change); err != nil {
+			return err
+		}
+	}
+	_, err = d.ctl.WaitInForce(ctx, last)
+	return err
+}
+
+// applyOnceReady repeats a change while the keepers elect their first leader.
+func (d *demo) applyOnceReady(ctx context.Context, change *operator.Change) (core.Version, error) {
+	for {
+		v, err := d.ctl.Change(ctx, change)
+		if k, ok := operator.KindOf(err); err == nil || (ok && k != core.KindNoLeader) || ctx.Err() != nil {
+			return v, err
+		}
+	}
+}
+
+func (d *demo) caller(host int) *caller.Client {
+	return &caller.Client{Addr: d.fleet.settings[host].Listen.Callers, Key: d.key, Timeout: 10 * time.Second}
+}
+
+const demoBody = `{"model":"verse-writer","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"A verse for a first birthday."}]}`
+
+func (d *demo) stream(context.Context) error {
+	s, err := d.caller(0).Stream("/v1/chat/completions", []byte(demoBody), nil)
+	if err != nil {
+		return err
+	}
+	if s.Status != http.StatusOK || !s.Whole || s.Tokens != demoAnswer || s.Usage != demoAnswer {
+		return errors.Newf("status %d, whole %t, %d tokens, usage %d, kind %q", s.Status, s.Whole, s.Tokens, s.Usage, s.Kind)
+	}
+	_, _ = fmt.Fprintf(d.out, "    %q\n", s.Text)
+	return nil
+}
+
+func (d *demo) noKey(context.Context) error {
+	c := d.caller(1)
+	c.Key = ""
+	a, err := c.Do(http.MethodPost, "/v1/chat/completions", []byte(demoBody))
+	return expect(a, err, http.StatusUnauthorized, core.KindNoKey)
+}
+
+func expect(a caller.Answer, err error, status int, kind core.Kind) error {
+	if err != nil {
+		return err
+	}
+	if a.Status != status || a.Kind != kind.String() || !a.NotRun {
+		return errors.Newf("want %d %s, have %d %s, notRun %t: %s", status, kind, a.Status, a.Kind, a.NotRun, a.Body)
+	}
+	return nil
+}
+
+func (d *demo) orderTwice(context.Context) error {
+	order := []byte(`{"card":"birthday","copies":1}`)
+	once := caller.Header{Name: "Idempotency-Key", Value: "order-4711"}
+	var bodies []string
+	for host := range 2 {
+		a, err := d.caller(host).Do(http.MethodPost, "/orders", order, once)
+		if err != nil {
+			return err
+		}
+		if a.Status != http.StatusOK || a.Stored != (host == 1) {
+			return errors.Newf("host %d: status %d, stored %t: %s", host, a.Status, a.Stored, a.Body)
+		}
+		bodies = append(bodies, string(a.Body))
+	}
+	if runs := d.orders.Runs(string(order)); runs != 1 || bodies[0] != bodies[1] || d.orders.Leaked() != 0 {
+		return errors.Newf("the order ran %d times; answers %q; keys leaked %d", runs, bodies, d.orders.Leaked())
+	}
+	return nil
+}
+
+func (d *demo) overRate(context.Context) error {
+	big := []byte(`{"model":"verse-writer","max_tokens":256,"prompt":"` + string(make8k()) + `"}`)
+	a, err := d.caller(2).Do(http.MethodPost, "/v1/completions", big)
+	return expect(a, err, http.StatusTooManyRequests, core.KindOverRate)
+}
+
+// make8k makes a prompt that takes more tokens than the account's burst.
+func make8k() []byte {
+	const promptBytes = 8 << 10
+	out := make([]byte, promptBytes)
+	for i := range out {
+		out[i] = 'a' + byte(i%26)
+	}
+	return out
+}
+
+func (d *demo) withdraw(ctx context.Context) error {
+	v, err := d.ctl.Change(ctx, &operator.Change{Change: &operator.Change_WithdrawKey{WithdrawKey: "shop-1"}})
+	if err != nil {
+		return err
+	}
+	if _, err := d.ctl.WaitInForce(ctx, v); err != nil {
+		return err
+	}
+	for host := range d.fleet.settings {
+		a, err := d.caller(host).Do(http.MethodPost, "/v1/chat/completions", []byte(demoBody))
+		if err := expect(a, err, http.StatusUnauthorized, core.KindBadKey); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	randv2 "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+	"oleanderlever/io/settings"
+
+	// The plug-ins of the kernel and the peers register themselves.
+	_ "oleanderlever/core/config"
+	_ "oleanderlever/core/dispatch"
+	_ "oleanderlever/core/entry"
+	_ "oleanderlever/core/lease"
+	_ "oleanderlever/core/member"
+	_ "oleanderlever/core/once"
+	_ "oleanderlever/core/quota"
+	_ "oleanderlever/core/replica"
+	_ "oleanderlever/io/caller"
+	_ "oleanderlever/io/disk"
+	_ "oleanderlever/io/host"
+	_ "oleanderlever/io/operator"
+	_ "oleanderlever/io/platform"
+	_ "oleanderlever/io/upstream"
+)
+
+// Daemon is a running host.
+type Daemon struct {
+	host      *control.Host
+	instances []control.Instance
+	drained   chan struct{}
+	once      sync.Once
+}
+
+// Start opens every peer and runs the kernel; nothing is left open where it fails.
+func Start(s *settings.Host, log zerolog.Logger) (*Daemon, error) {
+	rng, boot, err := newRand()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log}, drained: make(chan struct{})}
+	d.host.Env = core.Env{
+		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.Hosts, Boot: boot,
+		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(),
+	}
+	for _, k := range s.Keepers {
+		d.host.Env.Keepers = append(d.host.Env.Keepers, core.HostID(k))
+	}
+	for _, p := range control.Peers() {
+		instance, err := p.Open(d.host)
+		if err != nil {
+			d.closePeers()
+			return nil, errors.Wrap(err, p.Name)
+		}
+		d.instances = append(d.instances, instance)
+	}
+	d.host.Loop.Start(core.New(d.host.Env), d.perform)
+	for _, i := range d.instances {
+		if i.Start != nil {
+			i.Start()
+		}
+	}
+	log.Info().Str("disk", string(d.host.Env.Disk)).Uint64("boot", boot).Msg("host started")
+	return d, nil
+}
+
+// newRand seeds the kernel's generator from the system and takes the start's number from the clock.
+func newRand() (*randv2.Rand, uint64, error) {
+	var seed [16]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, 0, errors.Wrap(err, "seed")
+	}
+	src := randv2.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))
+	return randv2.New(src), uint64(time.Now().UnixMilli()), nil
+}
+
+// perform gives an action to every peer, on the control goroutine.
+func (d *Daemon) perform(a core.Action) {
+	if _, ok := a.(core.Drained); ok {
+		d.once.Do(func() { close(d.drained) })
+	}
+	for _, i := range d.instances {
+		if i.Do != nil {
+			i.Do(a)
+		}
+	}
+}
+
+// Drained is closed when a graceful shutdown has finished its last request.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+// Drain shuts down gracefully: no new requests, and the running ones to their end or until the context ends.
+func (d *Daemon) Drain(ctx context.Context) {
+	d.host.Loop.Post(core.Draining{})
+	select {
+	case <-d.drained:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the host at once; call Drain before for a graceful end.
+func (d *Daemon) Close() {
+	d.closePeers()
+	d.host.Loop.Stop()
+}
+
+func (d *Daemon) closePeers() {
+	for n := len(d.instances) - 1; n >= 0; n-- {
+		if d.instances[n].Close != nil {
+			d.instances[n].Close()
+		}
+	}
+}
--- /dev/null
+++ b/io/disk/peer.go
@@ -0,0 +1,104 @@
+package disk
+
+import (
+	"sync"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+	"oleanderlever/io/settings"
+)
+
+const rank = 10
+
+func init() { control.Register(control.Peer{Name: "disk", Rank: rank, Open: open}) }
+
+// writer is the goroutine that makes what the kernel asks for durable.
+type writer struct {
+	store *Store
+	loop  *control.Loop
+
+	mu     sync.Mutex
+	queue  []core.Persist
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+}
+
+func open(h *control.Host) (control.Instance, error) {
+	if !h.Settings.HasRole(settings.RoleKeeper) {
+		return control.Instance{}, nil
+	}
+	store, stored, err := Open(h.Settings.DataFolder)
+	if err != nil {
+		return control.Instance{}, err
+	}
+	h.Env.Disk = store.Disk()
+	h.Env.Stored = stored
+	w := &writer{store: store, loop: h.Loop, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	started := false
+	return control.Instance{
+		Start: func() {
+			started = true
+			go w.run()
+		},
+		Do: func(a core.Action) {
+			if p, ok := a.(core.Persist); ok {
+				w.add(p)
+			}
+		},
+		Close: func() {
+			if started {
+				w.close()
+			}
+			store.Close()
+		},
+	}, nil
+}
+
+func (w *writer) add(p core.Persist) {
+	w.mu.Lock()
+	w.queue = append(w.queue, p)
+	w.mu.Unlock()
+	w.signal()
+}
+
+func (w *writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *writer) close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.signal()
+	<-w.done
+}
+
+// run writes everything that has queued up while the last sync was under way with one sync.
+func (w *writer) run() {
+	defer close(w.done)
+	for range w.wake {
+		w.mu.Lock()
+		batch, closed := w.queue, w.closed
+		w.queue = nil
+		w.mu.Unlock()
+		if len(batch) > 0 && !w.write(batch) {
+			return
+		}
+		if closed {
+			return
+		}
+	}
+}
+
+func (w *writer) write(batch []core.Persist) bool {
+	if err := w.store.Persist(batch); err != nil {
+		w.loop.Post(core.DiskFailed{Reason: err.Error()})
+		return false
+	}
+	w.loop.Post(core.Persisted{Seq: batch[len(batch)-1].Seq})
+	return true
+}
--- /dev/null
+++ b/io/host/peer.go
@@ -0,0 +1,88 @@
+package host
+
+import (
+	"context"
+	"crypto/subtle"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+)
+
+const (
+	rank          = 20
+	headerTimeout = 5 * time.Second
+)
+
+// counters are the bytes and batches exchanged with other hosts, served with the other metrics.
+var counters = expvar.NewMap("hostMessages")
+
+func init() { control.Register(control.Peer{Name: "host", Rank: rank, Open: open}) }
+
+// server takes the batches of other hosts.
+type server struct{ loop *control.Loop }
+
+func open(h *control.Host) (control.Instance, error) {
+	l, err := net.Listen("tcp", h.Settings.Listen.Hosts.String())
+	if err != nil {
+		return control.Instance{}, errors.Wrap(err, "listen.hosts")
+	}
+	secret := h.Settings.Credentials.HostSecret
+	t := newTransport(core.HostID(h.Settings.Host), secret, h.Log)
+	handler := http.MaxBytesHandler(NewHostServer(&server{loop: h.Loop}), maxBatchBytes)
+	s := &http.Server{Handler: RequireBearer(secret, handler), ReadHeaderTimeout: headerTimeout}
+	return control.Instance{
+		Start: func() { go func() { _ = s.Serve(l) }() },
+		Do: func(a core.Action) {
+			switch a := a.(type) {
+			case core.SendMessage:
+				t.send(a)
+			case core.PeersChanged:
+				t.peersChanged(a.Peers)
+			}
+		},
+		Close: func() {
+			t.close()
+			_ = s.Close()
+			_ = l.Close()
+		},
+	}, nil
+}
+
+// RequireBearer lets only requests with the secret through; without a secret it lets all through, which the settings
+// allow on loopback only.
+func RequireBearer(secret string, next http.Handler) http.Handler {
+	want := []byte("Bearer " + secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if secret != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			http.Error(w, "wrong or missing credentials", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Deliver posts the messages of a batch; a message that is not understood refuses the rest of its batch.
+func (s *server) Deliver(_ context.Context, b *Batch) (*Delivered, error) {
+	if err := core.CheckName("from", b.GetFrom()); err != nil {
+		return nil, twirp.InvalidArgumentError("from", err.Error())
+	}
+	for _, e := range b.GetMessages() {
+		m, err := Decode(e)
+		if err != nil {
+			counters.Add("refused", 1)
+			return nil, twirp.InvalidArgumentError("messages", err.Error())
+		}
+		counters.Add("bytesIn", int64(len(e.GetBody())))
+		if !s.loop.TryPost(core.Received{From: core.HostID(b.GetFrom()), Message: m}) {
+			return nil, twirp.NewError(twirp.ResourceExhausted, "the mailbox is full")
+		}
+	}
+	return &Delivered{}, nil
+}
--- /dev/null
+++ b/io/host/transport.go
@@ -0,0 +1,182 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleanderlever/core"
+)
+
+const (
+	// queueSize bounds the messages that wait for one host; the oldest is dropped, since the core sends again.
+	queueSize = 1024
+	// batchSize bounds the messages of one call.
+	batchSize = 128
+	// callTimeout bounds one call; a host that is later than this costs its connection.
+	callTimeout = 2 * time.Second
+	dialTimeout = time.Second
+	// maxBatchBytes bounds the body of a call.
+	maxBatchBytes = 64 << 20
+	// idleLink is how long a link without messages is kept.
+	idleLink = time.Minute
+)
+
+// transport has one link to each host that was spoken to lately.
+type transport struct {
+	self   core.HostID
+	secret string
+	log    zerolog.Logger
+
+	mu    sync.Mutex
+	addrs map[core.HostID]netip.AddrPort
+	links map[netip.AddrPort]*link
+	done  bool
+}
+
+// link is the goroutine that sends to one address.
+type link struct {
+	t      *transport
+	addr   netip.AddrPort
+	client Host
+	http   *http.Transport
+	queue  chan core.Message
+	stop   chan struct{}
+}
+
+func newTransport(self core.HostID, secret string, log zerolog.Logger) *transport {
+	return &transport{self: self, secret: secret, log: log, addrs: map[core.HostID]netip.AddrPort{}, links: map[netip.AddrPort]*link{}}
+}
+
+// peersChanged takes the addresses of the hosts and closes links that lead nowhere any more.
+func (t *transport) peersChanged(peers []core.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	used := map[netip.AddrPort]bool{}
+	for _, m := range peers {
+		t.addrs[m.Host] = m.Addr
+		used[m.Addr] = true
+	}
+	for addr, l := range t.links {
+		if !used[addr] {
+			close(l.stop)
+			delete(t.links, addr)
+		}
+	}
+}
+
+func (t *transport) send(m core.SendMessage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addr := m.Addr
+	if !addr.IsValid() {
+		addr = t.addrs[m.To]
+	}
+	if !addr.IsValid() || t.done {
+		counters.Add("undeliverable", 1)
+		return
+	}
+	l := t.links[addr]
+	if l == nil {
+		l = t.dial(addr)
+		t.links[addr] = l
+	}
+	l.push(m.Message)
+}
+
+func (t *transport) dial(addr netip.AddrPort) *link {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	h := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleLink}
+	l := &link{t: t, addr: addr, http: h, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
+	client := &http.Client{Transport: &authorized{base: h, secret: t.secret}, Timeout: callTimeout}
+	l.client = NewHostProtobufClient("http://"+addr.String(), client)
+	go l.run()
+	return l
+}
+
+func (t *transport) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.done = true
+	for _, l := range t.links {
+		close(l.stop)
+	}
+	clear(t.links)
+}
+
+// push never blocks: it is called on the control goroutine.
+func (l *link) push(m core.Message) {
+	for {
+		select {
+		case l.queue <- m:
+			return
+		default:
+		}
+		select {
+		case <-l.queue:
+			counters.Add("dropped", 1)
+		default:
+		}
+	}
+}
+
+func (l *link) run() {
+	defer l.http.CloseIdleConnections()
+	for {
+		select {
+		case m := <-l.queue:
+			l.deliver(l.collect(m))
+		case <-l.stop:
+			return
+		}
+	}
+}
+
+// collect takes what else is waiting, so that a busy link sends few large calls.
+func (l *link) collect(first core.Message) *Batch {
+	b := &Batch{From: string(l.t.self)}
+	for m := first; ; {
+		if e, err := Encode(m); err == nil {
+			b.Messages = append(b.Messages, e)
+			counters.Add("bytesOut", int64(len(e.Body)))
+		}
+		if len(b.Messages) >= batchSize {
+			return b
+		}
+		select {
+		case m = <-l.queue:
+		default:
+			return b
+		}
+	}
+}
+
+func (l *link) deliver(b *Batch) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	counters.Add("batchesOut", 1)
+	if _, err := l.client.Deliver(ctx, b); err != nil {
+		counters.Add("batchesLost", 1)
+		l.http.CloseIdleConnections()
+		l.t.log.Debug().Err(err).Stringer("addr", l.addr).Int("messages", len(b.Messages)).Msg("messages lost")
+	}
+}
+
+// authorized adds the shared secret of the hosts to each call.
+type authorized struct {
+	base   *http.Transport
+	secret string
+}
+
+// RoundTrip sends a request with the secret.
+func (a *authorized) RoundTrip(r *http.Request) (*http.Response, error) {
+	if a.secret != "" {
+		r.Header.Set("Authorization", "Bearer "+a.secret)
+	}
+	return a.base.RoundTrip(r)
+}
--- /dev/null
+++ b/io/operator/convert.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+// toCommand turns a request into the core's command.
+func toCommand(r *ApplyRequest, operator string) (core.Command, error) {
+	if err := core.CheckName("command_id", r.GetCommandId()); err != nil {
+		return core.Command{}, err
+	}
+	c, err := toChange(r.GetChange())
+	return core.Command{
+		ID: core.CommandID(r.GetCommandId()), Expect: core.Version(r.GetExpectVersion()), Change: c, Operator: operator,
+	}, err
+}
+
+func toChange(c *Change) (core.Change, error) {
+	switch v := c.GetChange().(type) {
+	case *Change_PutAccount:
+		return core.Change{Kind: core.ChangePutAccount, Account: toAccount(v.PutAccount)}, nil
+	case *Change_DeleteAccount:
+		return core.Change{Kind: core.ChangeDeleteAccount, Account: core.Account{ID: core.AccountID(v.DeleteAccount)}}, nil
+	case *Change_AddKey:
+		return toKeyChange(v.AddKey)
+	case *Change_WithdrawKey:
+		return core.Change{Kind: core.ChangeWithdrawKey, Key: core.Key{ID: core.KeyID(v.WithdrawKey)}}, nil
+	case *Change_PutRoute:
+		return core.Change{Kind: core.ChangePutRoute, Route: toRoute(v.PutRoute)}, nil
+	case *Change_DeleteRoute:
+		return core.Change{Kind: core.ChangeDeleteRoute, Route: core.Route{Name: v.DeleteRoute}}, nil
+	case *Change_PutModel:
+		return core.Change{Kind: core.ChangePutModel, Model: toModel(v.PutModel)}, nil
+	case *Change_DeleteModel:
+		return core.Change{Kind: core.ChangeDeleteModel, Model: core.Model{ID: core.PoolID(v.DeleteModel)}}, nil
+	case *Change_PutPolicy:
+		return core.Change{Kind: core.ChangePutPolicy, Policy: toPolicy(v.PutPolicy)}, nil
+	}
+	return core.Change{}, core.Fail(core.KindBadRequest, "change: missing")
+}
+
+func toAccount(a *Account) core.Account {
+	return core.Account{
+		ID: core.AccountID(a.GetId()), Weight: int(a.GetWeight()),
+		Rate: core.Tokens(a.GetRate()), Burst: core.Tokens(a.GetBurst()),
+	}
+}
+
+func toKeyChange(k *Key) (core.Change, error) {
+	out := core.Key{ID: core.KeyID(k.GetId()), Account: core.AccountID(k.GetAccount())}
+	if len(k.GetHash()) != len(out.Hash) {
+		return core.Change{}, core.Fail(core.KindBadRequest, "key.hash: want %d bytes", len(out.Hash))
+	}
+	copy(out.Hash[:], k.GetHash())
+	return core.Change{Kind: core.ChangeAddKey, Key: out}, nil
+}
+
+func toRoute(r *Route) core.Route {
+	return core.Route{
+		Name: r.GetName(), Path: r.GetPath(), Pool: core.PoolID(r.GetPool()), Open: r.GetOpen(),
+		Repeatable: r.GetRepeatable(), Accounts: toAccounts(r.GetAccounts()), Cost: core.Tokens(r.GetCost()),
+		Timeout: time.Duration(r.GetTimeoutMillis()) * time.Millisecond,
+	}
+}
+
+func toModel(m *Model) core.Model {
+	return core.Model{ID: core.PoolID(m.GetId()), MaxOutput: core.Tokens(m.GetMaxOutput()), Accounts: toAccounts(m.GetAccounts())}
+}
+
+func toPolicy(p *UpstreamPolicy) core.UpstreamPolicy {
+	out := core.UpstreamPolicy{Pool: core.PoolID(p.GetPool()), ChecksSender: p.GetChecksSender(), ChecksFencing: p.GetChecksFencing()}
+	for _, id := range p.GetDrained() {
+		out.Drained = append(out.Drained, core.UpstreamID(id))
+	}
+	return out
+}
+
+func toAccounts(ids []string) []core.AccountID {
+	var out []core.AccountID
+	for _, id := range ids {
+		out = append(out, core.AccountID(id))
+	}
+	return out
+}
+
+func fromAccounts(ids []core.AccountID) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+// fromStatus turns the core's status into a reply; hashes of keys stay here.
+func fromStatus(s *core.Status, self core.HostID) *StatusReply {
+	r := &StatusReply{
+		Leader: string(s.Leader), Epoch: uint64(s.Epoch), Version: uint64(s.Version),
+		InForce: uint64(s.InForce), AnsweredBy: string(self),
+	}
+	for _, h := range s.Holders {
+		r.Holders = append(r.Holders, &Holder{Host: string(h.Host), Version: uint64(h.Version), LeaseLeftMillis: h.Left.Milliseconds()})
+	}
+	for _, k := range s.Keepers {
+		r.Keepers = append(r.Keepers, &Keeper{Host: string(k.Host), Disk: string(k.Disk), Voter: k.Voter})
+	}
+	for i := range s.History {
+		r.History = append(r.History, fromResult(&s.History[i]))
+	}
+	addTables(r, &s.Tables)
+	return r
+}
+
+func fromResult(c *core.CommandResult) *Command {
+	out := &Command{
+		Id: string(c.ID), Operator: c.Who, Summary: c.Summary, Version: uint64(c.Version), AtUnixMillis: c.At.UnixMilli(),
+	}
+	if c.Failure != nil {
+		out.Refused = c.Failure.Kind.String()
+	}
+	return out
+}
+
+func addTables(r *StatusReply, t *core.Tables) {
+	for _, a := range t.Accounts {
+		r.Accounts = append(r.Accounts, &Account{Id: string(a.ID), Weight: int32(a.Weight), Rate: int64(a.Rate), Burst: int64(a.Burst)})
+	}
+	for _, k := range t.Keys {
+		r.Keys = append(r.Keys, &Key{Id: string(k.ID), Account: string(k.Account)})
+	}
+	for _, x := range t.Routes {
+		r.Routes = append(r.Routes, &Route{
+			Name: x.Name, Path: x.Path, Pool: string(x.Pool), Open: x.Open, Repeatable: x.Repeatable,
+			Accounts: fromAccounts(x.Accounts), Cost: int64(x.Cost), TimeoutMillis: x.Timeout.Milliseconds(),
+		})
+	}
+	for _, m := range t.Models {
+		r.Models = append(r.Models, &Model{Id: string(m.ID), MaxOutput: int64(m.MaxOutput), Accounts: fromAccounts(m.Accounts)})
+	}
+	for _, p := range t.Policies {
+		out := &UpstreamPolicy{Pool: string(p.Pool), ChecksSender: p.ChecksSender, ChecksFencing: p.ChecksFencing}
+		for _, id := range p.Drained {
+			out.Drained = append(out.Drained, string(id))
+		}
+		r.Policies = append(r.Policies, out)
+	}
+}
--- /dev/null
+++ b/io/operator/peer.go
@@ -0,0 +1,163 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+	"oleanderlever/io/settings"
+)
+
+const (
+	rank = 50
+	// maxRequestBytes bounds a call's body.
+	maxRequestBytes = 4 << 20
+	headerTimeout   = 5 * time.Second
+)
+
+func init() { control.Register(control.Peer{Name: "operator", Rank: rank, Open: open}) }
+
+// server passes operators' calls to the core and waits for its answers.
+type server struct {
+	self core.HostID
+	loop *control.Loop
+
+	mu      sync.Mutex
+	ticket  uint64
+	waiting map[uint64]chan core.Action
+}
+
+func open(h *control.Host) (control.Instance, error) {
+	l, err := net.Listen("tcp", h.Settings.Listen.Operators.String())
+	if err != nil {
+		return control.Instance{}, errors.Wrap(err, "listen.operators")
+	}
+	s := &server{self: core.HostID(h.Settings.Host), loop: h.Loop, waiting: map[uint64]chan core.Action{}}
+	handler := http.MaxBytesHandler(NewOperatorServer(s), maxRequestBytes)
+	web := &http.Server{Handler: authenticate(h.Settings.Credentials.Operators, handler), ReadHeaderTimeout: headerTimeout}
+	return control.Instance{
+		Start: func() { go func() { _ = web.Serve(l) }() },
+		Do:    s.perform,
+		Close: func() { _ = web.Close() },
+	}, nil
+}
+
+type operatorKey struct{}
+
+// authenticate names the operator of each call by the secret that came with it. Where the settings name no operator,
+// which they allow on loopback only, everybody is "local".
+func authenticate(operators []settings.Operator, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := identify(operators, r.Header.Get("Authorization"))
+		if !ok {
+			http.Error(w, "wrong or missing credentials", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
+	})
+}
+
+func identify(operators []settings.Operator, header string) (string, bool) {
+	if len(operators) == 0 {
+		return "local", true
+	}
+	hash := sha256.Sum256([]byte(strings.TrimPrefix(header, "Bearer ")))
+	text := hex.EncodeToString(hash[:])
+	found := ""
+	for _, o := range operators {
+		if subtle.ConstantTimeCompare([]byte(strings.ToLower(o.SecretHash)), []byte(text)) == 1 {
+			found = o.Name
+		}
+	}
+	return found, found != ""
+}
+
+func (s *server) perform(a core.Action) {
+	switch a := a.(type) {
+	case core.OperatorAnswer:
+		s.give(a.Ticket, a)
+	case core.StatusAnswer:
+		s.give(a.Ticket, a)
+	}
+}
+
+func (s *server) give(ticket uint64, a core.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.waiting[ticket]; c != nil {
+		c <- a
+		delete(s.waiting, ticket)
+	}
+}
+
+// ask posts an event that carries a ticket and waits for the action that answers it.
+func (s *server) ask(ctx context.Context, event func(ticket uint64) core.Event) (core.Action, error) {
+	answer := make(chan core.Action, 1)
+	s.mu.Lock()
+	s.ticket++
+	ticket := s.ticket
+	s.waiting[ticket] = answer
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.waiting, ticket)
+		s.mu.Unlock()
+	}()
+	if !s.loop.TryPost(event(ticket)) {
+		return nil, toTwirp(core.Fail(core.KindOverloaded, "the mailbox is full"))
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.Canceled, "the operator is gone")
+	}
+}
+
+// Apply makes one change of the configuration.
+func (s *server) Apply(ctx context.Context, r *ApplyRequest) (*ApplyReply, error) {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	command, err := toCommand(r, name)
+	if err != nil {
+		return nil, toTwirp(core.FailureOf(err))
+	}
+	a, err := s.ask(ctx, func(ticket uint64) core.Event { return core.OperatorAsked{Ticket: ticket, Command: command} })
+	if err != nil {
+		return nil, err
+	}
+	result := a.(core.OperatorAnswer).Result
+	if result.Failure != nil {
+		return nil, toTwirp(result.Failure)
+	}
+	return &ApplyReply{Version: uint64(result.Version)}, nil
+}
+
+// GetStatus shows the whole system as the leader sees it.
+func (s *server) GetStatus(ctx context.Context, _ *StatusRequest) (*StatusReply, error) {
+	a, err := s.ask(ctx, func(ticket uint64) core.Event { return core.StatusAsked{Ticket: ticket} })
+	if err != nil {
+		return nil, err
+	}
+	answer := a.(core.StatusAnswer)
+	if answer.Failure != nil {
+		return nil, toTwirp(answer.Failure)
+	}
+	return fromStatus(&answer.Status, s.self), nil
+}
+
+// Drain shuts this host down gracefully.
+func (s *server) Drain(context.Context, *DrainRequest) (*DrainReply, error) {
+	s.loop.Post(core.Draining{})
+	return &DrainReply{}, nil
+}
--- /dev/null
+++ b/io/upstream/announcer.go
@@ -0,0 +1,105 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"oleanderlever/core"
+)
+
+const (
+	// AnnounceEvery is how often an upstream repeats its announcement.
+	AnnounceEvery = 500 * time.Millisecond
+	// reportTimeout bounds one announcement or report.
+	reportTimeout = time.Second
+)
+
+// Announcer is the upstream's side of the protocol: it announces and reports to one of several hosts until stopped.
+type Announcer struct {
+	Announcement core.Announcement
+	Hosts        []netip.AddrPort
+	Secret       string
+	// Report returns the load and the cache events since the last report, or false where there is none to send.
+	Report func() (ReportBody, bool)
+
+	client *Client
+	turn   int
+	seq    uint64
+	stop   chan struct{}
+	done   chan struct{}
+}
+
+// Start announces until Stop.
+func (a *Announcer) Start() {
+	a.client = NewClient(a.Secret)
+	a.stop, a.done = make(chan struct{}), make(chan struct{})
+	go a.run()
+}
+
+// Stop says goodbye and ends the announcements.
+func (a *Announcer) Stop() {
+	close(a.stop)
+	<-a.done
+	a.Announcement.Leaving = true
+	a.tell(PathAnnounce, &a.Announcement)
+}
+
+func (a *Announcer) run() {
+	defer close(a.done)
+	every := time.NewTicker(AnnounceEvery)
+	defer every.Stop()
+	for {
+		a.speak()
+		select {
+		case <-every.C:
+		case <-a.stop:
+			return
+		}
+	}
+}
+
+func (a *Announcer) speak() {
+	a.tell(PathAnnounce, &a.Announcement)
+	if a.Report == nil {
+		return
+	}
+	if r, ok := a.Report(); ok {
+		a.seq++
+		r.ID, r.Pool, r.Incarnation, r.Seq = a.Announcement.ID, a.Announcement.Pool, a.Announcement.Incarnation, a.seq
+		a.tell(PathReport, &r)
+	}
+}
+
+// tell tries each host once, the one that answered last first.
+func (a *Announcer) tell(path string, body any) {
+	for range a.Hosts {
+		if a.post(a.Hosts[a.turn%len(a.Hosts)], path, body) == nil {
+			return
+		}
+		a.turn++
+	}
+}
+
+func (a *Announcer) post(addr netip.AddrPort, path string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := a.client.post(req, addr, path, json.RawMessage(text)); err != nil {
+		return err
+	}
+	if err := a.client.host(clientKey{addr: addr}).DoTimeout(req, resp, reportTimeout); err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	if resp.StatusCode() != fasthttp.StatusNoContent {
+		return errors.Newf("the host answered status %d", resp.StatusCode())
+	}
+	return nil
+}
--- /dev/null
+++ b/io/upstream/peer.go
@@ -0,0 +1,138 @@
+package upstream
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+)
+
+const (
+	rank = 30
+	// maxNewsBytes bounds an announcement or a report.
+	maxNewsBytes = 4 << 20
+	newsTimeout  = 5 * time.Second
+	// maxCancels bounds the cancels under way at once; the core repeats what was not confirmed.
+	maxCancels = 256
+)
+
+func init() { control.Register(control.Peer{Name: "upstream", Rank: rank, Open: open}) }
+
+// server takes the words of upstreams.
+type server struct {
+	loop   *control.Loop
+	secret []byte
+}
+
+func open(h *control.Host) (control.Instance, error) {
+	l, err := net.Listen("tcp", h.Settings.Listen.Upstreams.String())
+	if err != nil {
+		return control.Instance{}, errors.Wrap(err, "listen.upstreams")
+	}
+	secret := h.Settings.Credentials.UpstreamSecret
+	s := &server{loop: h.Loop}
+	if secret != "" {
+		s.secret = []byte("Bearer " + secret)
+	}
+	web := &fasthttp.Server{
+		Handler: s.handle, MaxRequestBodySize: maxNewsBytes, ReadTimeout: newsTimeout, IdleTimeout: time.Minute,
+		NoDefaultServerHeader: true, CloseOnShutdown: true,
+	}
+	c := &canceller{client: NewClient(secret), loop: h.Loop, free: make(chan struct{}, maxCancels)}
+	return control.Instance{
+		Start: func() { go func() { _ = web.Serve(l) }() },
+		Do: func(a core.Action) {
+			if a, ok := a.(core.CancelAttempt); ok {
+				c.start(a)
+			}
+		},
+		Close: func() {
+			_ = l.Close()
+			_ = web.Shutdown()
+		},
+	}, nil
+}
+
+// canceller carries out cancels.
+type canceller struct {
+	client *Client
+	loop   *control.Loop
+	free   chan struct{}
+}
+
+func (c *canceller) start(a core.CancelAttempt) {
+	select {
+	case c.free <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-c.free }()
+		ok := c.client.Cancel(a.Upstream, a.Attempt)
+		c.loop.Post(core.CancelEnded{Attempt: a.Attempt, Upstream: a.Upstream, OK: ok})
+	}()
+}
+
+func (s *server) handle(ctx *fasthttp.RequestCtx) {
+	if s.secret != nil && subtle.ConstantTimeCompare(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), s.secret) != 1 {
+		ctx.Error("wrong or missing credentials", fasthttp.StatusUnauthorized)
+		return
+	}
+	var ev core.Event
+	var err error
+	switch string(ctx.Path()) {
+	case PathAnnounce:
+		ev, err = announcement(ctx.PostBody())
+	case PathReport:
+		ev, err = report(ctx.PostBody())
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+		return
+	}
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if !s.loop.TryPost(ev) {
+		ctx.Error("the mailbox is full", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func announcement(body []byte) (core.Event, error) {
+	var a core.Announcement
+	if err := json.Unmarshal(body, &a); err != nil {
+		return nil, core.Fail(core.KindBadRequest, "announcement: %v", err)
+	}
+	return core.UpstreamAnnounced{Announcement: a}, a.Check()
+}
+
+// ReportBody is a report as upstreams write it, with attempts in their echoed form.
+type ReportBody struct {
+	core.Report
+	Attempts []string `json:"attempts"`
+}
+
+func report(body []byte) (core.Event, error) {
+	var b ReportBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, core.Fail(core.KindBadRequest, "report: %v", err)
+	}
+	r := b.Report
+	r.Attempts = nil
+	for _, text := range b.Attempts {
+		a, ok := ParseAttempt(text)
+		if !ok {
+			return nil, core.Fail(core.KindBadRequest, "report: %q is no attempt", text)
+		}
+		r.Attempts = append(r.Attempts, a)
+	}
+	return core.UpstreamReported{Report: r}, r.Check()
+}
