--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# The hub for building and checking; .ci/run calls "make check".
+.PHONY: all build test race lint fmt generate bench fuzz check demo
+
+all: check
+
+build:
+	go build ./...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	test -z "$$(go tool gofumpt -l $$(git ls-files '*.go' | grep -vE '\.(pb|twirp)\.go$$'))"
+	go vet ./...
+	go tool revive -config revive.toml -set_exit_status $$(go list ./... )
+
+fmt:
+	go tool gofumpt -w $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
+
+# protoc 3.21.12; the plug-ins' versions stand in go.mod.
+generate:
+	go build -o .bin/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH="$$PWD/.bin:$$PATH" protoc --proto_path=. --go_out=. --go_opt=module=oleanderlever --twirp_out=. --twirp_opt=module=oleanderlever io/operator/operator.proto
+	PATH="$$PWD/.bin:$$PATH" protoc --proto_path=. --go_out=. --go_opt=module=oleanderlever --twirp_out=. --twirp_opt=module=oleanderlever io/host/host.proto
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+check: lint build race
+
+demo:
+	go run ./cmd/oleanderlever demo
