--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -16,6 +16,9 @@
 // maxAsks bounds the unanswered asks that a host remembers; older ones could not extend the lease any more.
 const maxAsks = 16
 
+// redirectPause keeps hosts that disagree about the leader from asking in a circle.
+const redirectPause = 20 * time.Millisecond
+
 // asking is one LeaseAsk that was sent.
 type asking struct {
 	ask uint64
@@ -63,7 +66,7 @@
 		return
 	}
 	h.leader = m.Leader
-	h.ask(t)
+	h.renew = core.Earlier(h.renew, t.Now.Add(redirectPause))
 }
 
 func (h *holder) granted(t *core.Turn, m core.LeaseGrant) {
