--- a/io/console/console.go
+++ b/io/console/console.go
@@ -4,11 +4,9 @@
 	"io"
 	"net/netip"
 	"os"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
-	"github.com/rs/zerolog"
 )
 
 // addrPort is an address on the command line.
@@ -64,16 +62,6 @@
 	return 1
 }
 
-// newLog returns a logger of JSON lines with times to the microsecond.
-func newLog(w io.Writer, level, host string) (zerolog.Logger, error) {
-	l, err := zerolog.ParseLevel(level)
-	if err != nil {
-		return zerolog.Nop(), errors.Wrap(err, "logLevel")
-	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(zerolog.SyncWriter(w)).Level(l).With().Timestamp().Str("host", host).Logger(), nil
-}
-
 func addrs(list []addrPort) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, a := range list {
--- a/io/console/demo.go
+++ b/io/console/demo.go
@@ -12,6 +12,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/caller"
+	"oleanderlever/io/daemon"
 	"oleanderlever/io/engine"
 	"oleanderlever/io/operator"
 	"oleanderlever/io/service"
@@ -30,7 +31,7 @@
 // demo is the running system and what a caller sees of it.
 type demo struct {
 	out     io.Writer
-	fleet   *fleet
+	fleet   *daemon.Loopback
 	engines []*engine.Engine
 	orders  *service.Service
 	ctl     *operator.Client
@@ -52,7 +53,7 @@
 	defer cancel()
 	d := &demo{out: os.Stdout}
 	defer d.close()
-	if d.fleet, err = startFleet(3, folder, log); err != nil {
+	if d.fleet, err = daemon.StartLoopback(3, folder, log); err != nil {
 		return err
 	}
 	return d.run(ctx)
@@ -89,18 +90,18 @@
 		d.orders.Stop()
 	}
 	if d.fleet != nil {
-		d.fleet.close()
+		d.fleet.Close()
 	}
 }
 
 func (d *demo) startUpstreams(context.Context) error {
-	hosts := d.fleet.upstreamAddrs()
-	local := d.fleet.settings[0].Listen.Callers.Addr()
+	hosts := d.fleet.UpstreamAddrs()
+	local := d.fleet.Settings[0].Listen.Callers.Addr()
 	for _, u := range []struct {
 		id   core.UpstreamID
 		role core.Role
 	}{{"prefill-1", core.RolePrefill}, {"prefill-2", core.RolePrefill}, {"decode-1", core.RoleDecode}, {"decode-2", core.RoleDecode}} {
-		addr, err := freeAddr()
+		addr, err := daemon.FreeAddr()
 		if err != nil {
 			return err
 		}
@@ -113,13 +114,13 @@
 		}
 		d.engines = append(d.engines, e)
 	}
-	addr, err := freeAddr()
+	addr, err := daemon.FreeAddr()
 	if err != nil {
 		return err
 	}
 	d.orders, err = service.Start(service.Config{ID: "orders-1", Pool: "print-desk", DataCentre: "dc-1", Listen: addr, Hosts: hosts, Slots: 8})
-	d.ctl = operator.NewClient(d.fleet.settings[1].Listen.Operators, "")
-	_, _ = fmt.Fprintf(d.out, "    hosts on %v, callers at %v\n", local, d.fleet.settings[0].Listen.Callers)
+	d.ctl = operator.NewClient(d.fleet.Settings[1].Listen.Operators, "")
+	_, _ = fmt.Fprintf(d.out, "    hosts on %v, callers at %v\n", local, d.fleet.Settings[0].Listen.Callers)
 	return err
 }
 
@@ -155,7 +156,7 @@
 }
 
 func (d *demo) caller(host int) *caller.Client {
-	return &caller.Client{Addr: d.fleet.settings[host].Listen.Callers, Key: d.key, Timeout: 10 * time.Second}
+	return &caller.Client{Addr: d.fleet.Settings[host].Listen.Callers, Key: d.key, Timeout: 10 * time.Second}
 }
 
 const demoBody = `{"model":"verse-writer","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"A verse for a first birthday."}]}`
@@ -233,7 +234,7 @@
 	if _, err := d.ctl.WaitInForce(ctx, v); err != nil {
 		return err
 	}
-	for host := range d.fleet.settings {
+	for host := range d.fleet.Settings {
 		a, err := d.caller(host).Do(http.MethodPost, "/v1/chat/completions", []byte(demoBody))
 		if err := expect(a, err, http.StatusUnauthorized, core.KindBadKey); err != nil {
 			return err
--- a/io/console/host.go
+++ b/io/console/host.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"oleanderlever/io/daemon"
+	"oleanderlever/io/platform"
 	"oleanderlever/io/settings"
 )
 
@@ -21,7 +22,7 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, err := newLog(os.Stdout, s.LogLevel, s.Host)
+	log, err := platform.NewLog(os.Stdout, s.LogLevel, s.Host)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/io/daemon/bench_test.go
@@ -0,0 +1,143 @@
+package daemon_test
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"oleanderlever/core"
+	"oleanderlever/io/caller"
+	"oleanderlever/io/daemon"
+	"oleanderlever/io/engine"
+	"oleanderlever/io/operator"
+	"oleanderlever/io/service"
+	"oleanderlever/io/upstream"
+)
+
+// fastSystem has stand-ins that take next to no time, so that what is left is the host's.
+func fastSystem(b *testing.B, answer core.Tokens) (*daemon.Loopback, *engine.Engine, *service.Service, string) {
+	f, err := daemon.StartLoopback(1, b.TempDir(), io.Discard)
+	require.NoError(b, err)
+	b.Cleanup(f.Close)
+	addr, err := daemon.FreeAddr()
+	require.NoError(b, err)
+	e, err := engine.Start(engine.Config{
+		ID: "engine-1", Pool: model, Role: core.RoleBoth, Listen: addr, Hosts: f.UpstreamAddrs(), Slots: 64, Pieces: 4096,
+		TokenTime: time.Millisecond, Answer: answer,
+	})
+	require.NoError(b, err)
+	b.Cleanup(e.Kill)
+	addr, err = daemon.FreeAddr()
+	require.NoError(b, err)
+	s, err := service.Start(service.Config{ID: "service-1", Pool: "menu", Listen: addr, Hosts: f.UpstreamAddrs(), Slots: 64})
+	require.NoError(b, err)
+	b.Cleanup(s.Stop)
+	return f, e, s, configureFast(b, f)
+}
+
+func configureFast(b *testing.B, f *daemon.Loopback) string {
+	ctl := operator.NewClient(f.Settings[0].Listen.Operators, "")
+	key, hash, err := operator.NewKey()
+	require.NoError(b, err)
+	for _, c := range []*operator.Change{
+		{Change: &operator.Change_PutAccount{PutAccount: &operator.Account{Id: "bench", Weight: 1, Rate: 1e8, Burst: 1e9}}},
+		{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: model, MaxOutput: 4096}}},
+		{Change: &operator.Change_PutRoute{PutRoute: &operator.Route{Name: "menu", Path: "/menu", Pool: "menu", TimeoutMillis: 3000, Repeatable: true}}},
+		{Change: &operator.Change_AddKey{AddKey: &operator.Key{Id: "app", Account: "bench", Hash: hash[:]}}},
+	} {
+		for {
+			_, err := ctl.Change(b.Context(), c)
+			if k, _ := operator.KindOf(err); k != core.KindNoLeader {
+				require.NoError(b, err)
+				break
+			}
+		}
+	}
+	c := &caller.Client{Addr: f.Settings[0].Listen.Callers, Key: key, Timeout: patience}
+	for _, path := range []string{"/menu", "/v1/models"} {
+		require.Eventually(b, func() bool {
+			a, err := c.Do(http.MethodGet, path, nil)
+			return err == nil && a.Status == http.StatusOK
+		}, patience, 10*time.Millisecond)
+	}
+	return key
+}
+
+func getLoop(b *testing.B, addr netip.AddrPort, key string) {
+	c := &fasthttp.HostClient{Addr: addr.String()}
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("/menu")
+	req.SetHost(addr.String())
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	b.ResetTimer()
+	for range b.N {
+		require.NoError(b, c.Do(&req, &resp))
+		require.Equal(b, http.StatusOK, resp.StatusCode())
+	}
+}
+
+// BenchmarkService compares a call to a plain service with and without the host in between.
+func BenchmarkService(b *testing.B) {
+	f, _, s, key := fastSystem(b, 1)
+	b.Run("direct", func(b *testing.B) { getLoop(b, s.Addr(), "") })
+	b.Run("host", func(b *testing.B) { getLoop(b, f.Settings[0].Listen.Callers, key) })
+}
+
+// BenchmarkModel compares a prefill and a decode of one token, which takes the stand-in one millisecond, with and
+// without the host in between.
+func BenchmarkModel(b *testing.B) {
+	f, e, _, key := fastSystem(b, 1)
+	b.Run("direct", func(b *testing.B) {
+		c := upstream.NewClient("")
+		for n := range b.N {
+			a := core.AttemptID{Request: "bench", Number: n}
+			q := body("bench", false)
+			p, failure := c.Prefill(e.Addr(), &upstream.PrefillRequest{Attempt: a.String(), Body: q}, time.Second)
+			require.Nil(b, failure)
+			end := c.Decode(e.Addr(), &upstream.DecodeRequest{
+				Attempt: a.String(), KVFrom: e.Addr(), KVHandle: p.Handle, Body: q, Max: 16,
+			}, time.Second, func(string) error { return nil })
+			require.Nil(b, end.Failure)
+		}
+	})
+	b.Run("host", func(b *testing.B) {
+		c := &fasthttp.HostClient{Addr: f.Settings[0].Listen.Callers.String()}
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.Header.SetMethod(http.MethodPost)
+		req.SetRequestURI("/v1/chat/completions")
+		req.SetHost(c.Addr)
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.SetBody(body("bench", false))
+		b.ResetTimer()
+		for range b.N {
+			require.NoError(b, c.Do(&req, &resp))
+			require.Equal(b, http.StatusOK, resp.StatusCode(), "%s", resp.Body())
+		}
+	})
+}
+
+// BenchmarkRelay streams long answers through the host on several connections and reports tokens a second.
+func BenchmarkRelay(b *testing.B) {
+	const tokens = 2000
+	f, _, _, key := fastSystem(b, tokens)
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		c := &caller.Client{Addr: f.Settings[0].Listen.Callers, Key: key, Timeout: patience}
+		for pb.Next() {
+			st, err := c.Stream("/v1/chat/completions", body("relay", true), nil)
+			if err != nil || st.Tokens != tokens {
+				b.Errorf("%d tokens: %v %+v", st.Tokens, err, st.Answer)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N*tokens)/b.Elapsed().Seconds(), "tokens/s")
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 // PathFaults takes Faults as JSON; it is not part of the protocol.
 const PathFaults = "/standin/v1/faults"
 
+// maxSeenBytes bounds the text of requests that is kept.
+const maxSeenBytes = 1 << 20
+
 // Service is a running stand-in.
 type Service struct {
 	config    Config
@@ -49,6 +53,8 @@
 	runs map[string]int
 	// leaked counts calls that came with a credential that is not the system's.
 	leaked int
+	// seen is the text of the latest requests, to look for a caller's key in it.
+	seen strings.Builder
 }
 
 // Answer is what the stand-in says.
@@ -110,6 +116,13 @@
 	return s.leaked
 }
 
+// Seen returns the text of the latest requests.
+func (s *Service) Seen() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen.String()
+}
+
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == PathFaults {
 		s.takeFaults(ctx)
@@ -122,6 +135,10 @@
 	if auth != "" && auth != "Bearer "+s.config.Secret {
 		s.leaked++
 	}
+	if s.seen.Len() > maxSeenBytes {
+		s.seen.Reset()
+	}
+	_, _ = s.seen.WriteString(ctx.Request.String())
 	body := string(ctx.PostBody())
 	if !ctx.IsGet() {
 		s.runs[body]++
