--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -89,6 +89,8 @@
 		p.claimed(t, from, m)
 	case core.PlaceDone:
 		p.done(t, from, m)
+	case core.Holding:
+		p.holding(t, from, m)
 	}
 }
 
@@ -213,12 +215,15 @@
 	if !m.Decoding && m.Placed.Prefill != "" {
 		h.prefill = m.Ask.Prompt
 	}
-	pl.reserve(h)
+	pl.reserve(h, t.Now)
 }
 
 func (p *part) done(t *core.Turn, from core.HostID, m core.PlaceDone) {
 	t.Send(from, core.PlaceDoneReply{Attempt: m.Attempt, PrefillOnly: m.PrefillOnly})
-	pl := p.pool(t, m.Pool)
+	pl := p.pools[m.Pool]
+	if pl == nil {
+		return
+	}
 	h := pl.held[m.Attempt]
 	if h == nil {
 		pl.queue.remove(m.Attempt)
@@ -240,6 +245,42 @@
 	p.serve(t, pl)
 }
 
+const (
+	// missedMost is how many lists in a row may lack an attempt before its place is freed, missedAfter how old it must be.
+	missedMost  = 2
+	missedAfter = 5 * time.Second
+)
+
+// holding frees places that the entry host does not have any more, and asks for claims of those unknown here.
+func (p *part) holding(t *core.Turn, from core.HostID, m core.Holding) {
+	pl := p.pool(t, m.Pool)
+	named := map[core.AttemptID]bool{}
+	var unknown []core.AttemptID
+	for _, a := range m.Attempts {
+		named[a] = true
+		if pl.held[a] == nil {
+			unknown = append(unknown, a)
+		}
+	}
+	for _, a := range sortedAttempts(pl.held) {
+		h := pl.held[a]
+		if h.from != from {
+			continue
+		}
+		h.missed++
+		if named[a] {
+			h.missed = 0
+		}
+		if h.missed >= missedMost && t.Now.Sub(h.since) >= missedAfter {
+			p.end(t, pl, h, true)
+		}
+	}
+	if len(unknown) > 0 {
+		t.Send(from, core.HoldingUnknown{Attempts: unknown})
+	}
+	p.serve(t, pl)
+}
+
 func (p *part) succeeded(pl *pool, id core.UpstreamID) {
 	if u := pl.upstreams[id]; u != nil {
 		u.succeeded()
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -17,6 +17,9 @@
 	// pieces are held at the decode engine; prefill is the tokens held at the prefill engine until it is done.
 	pieces  int
 	prefill core.Tokens
+	// since is when the ledger took it, missed how many lists of its entry host in a row did not name it.
+	since  time.Time
+	missed int
 }
 
 // pool is the ledger of one pool.
@@ -97,10 +100,10 @@
 	if decode.best == nil {
 		return nil, decode, false
 	}
-	h := &held{ask: w.ask, from: w.from, placed: core.Placed{Attempt: w.ask.Attempt, Epoch: epoch}}
+	h := &held{ask: w.ask, from: w.from, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
 	h.placed.Decode, h.placed.DecodeAddr = decode.best.ID, decode.best.Addr
 	if w.ask.Service {
-		p.reserve(h)
+		p.reserve(h, now)
 		return h, decode, true
 	}
 	prefill := choose(list, func(u *upstream) bool { return u.Role.CanPrefill() && usable(u) },
@@ -111,7 +114,7 @@
 	h.placed.Prefill, h.placed.PrefillAddr = prefill.best.ID, prefill.best.Addr
 	h.pieces = pieces
 	h.prefill = max(1, w.ask.Prompt-prefill.best.cached(w.ask.Blocks))
-	p.reserve(h)
+	p.reserve(h, now)
 	return h, prefill, true
 }
 
@@ -123,7 +126,8 @@
 	return u.Role.CanDecode()
 }
 
-func (p *pool) reserve(h *held) {
+func (p *pool) reserve(h *held, now time.Time) {
+	h.since = now
 	p.held[h.ask.Attempt] = h
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots++
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -24,19 +24,26 @@
 	budgets  map[core.PoolID]*budget
 	draining bool
 	drained  bool
+	// list is when the dispatchers are next told what this host has.
+	list time.Time
+	// listed are the pools whose dispatchers are told, with how many empty lists they got in a row.
+	listed   map[core.PoolID]int
+	retryAll bool
 }
 
-func init() { core.Register(Plugin()) }
+func init() { core.Register(Plugin(false)) }
 
-// Plugin returns the plug-in.
-func Plugin() core.Plugin { return core.Plugin{Name: "entry", Rank: rank, New: newPart} }
+// Plugin returns the plug-in; retryAll, for tests only, tries a call again that may have run.
+func Plugin(retryAll bool) core.Plugin {
+	return core.Plugin{Name: "entry", Rank: rank, New: func(env core.Env) core.Part { return newPart(env, retryAll) }}
+}
 
-func newPart(env core.Env) core.Part {
+func newPart(env core.Env, retryAll bool) core.Part {
 	empty := &core.Tables{}
 	empty.Index()
 	p := &part{
-		self: env.Self, limit: env.Limits.Requests, tables: empty,
-		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{},
+		self: env.Self, retryAll: retryAll, limit: env.Limits.Requests, tables: empty,
+		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, listed: map[core.PoolID]int{},
 	}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
 }
@@ -90,6 +97,8 @@
 		p.placed(t, from, m)
 	case core.PlaceRefused:
 		p.placeRefused(t, m)
+	case core.HoldingUnknown:
+		p.claimAll(t, m.Attempts)
 	case core.PlaceDoneReply:
 		delete(p.dones, doneKey{attempt: m.Attempt, prefillOnly: m.PrefillOnly})
 	}
@@ -169,6 +178,10 @@
 func (p *part) askPlace(t *core.Turn, r *request) {
 	r.newAttempt(t.Now)
 	r.stage = stagePlace
+	p.listed[r.pool] = 0
+	if p.list.IsZero() {
+		p.list = t.Now.Add(listEvery)
+	}
 	p.sendAsk(t, r)
 }
 
@@ -187,7 +200,7 @@
 func (p *part) placed(t *core.Turn, from core.HostID, m core.Placed) {
 	r := p.requests[m.Attempt.Request]
 	if r == nil || r.attemptID() != m.Attempt || (r.stage == stagePlace && r.gone) {
-		t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: poolOf(r)})
+		t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: m.Pool})
 		return
 	}
 	if r.stage != stagePlace {
@@ -205,13 +218,6 @@
 	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
 }
 
-func poolOf(r *request) core.PoolID {
-	if r == nil {
-		return ""
-	}
-	return r.pool
-}
-
 func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
 	r := p.requests[m.Attempt.Request]
 	if r == nil || r.attemptID() != m.Attempt || r.stage != stagePlace {
@@ -300,7 +306,7 @@
 	}
 	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame})
 	r.ran = r.ran || !f.NotRun
-	if r.mayRetry(f) && p.budget(r.pool).spend() {
+	if (r.mayRetry(f) || (p.retryAll && r.ask.Attempt.Number < maxAttempts)) && p.budget(r.pool).spend() {
 		r.avoid = append(r.avoid, failed)
 		t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
 		p.askPlace(t, r)
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -51,9 +51,7 @@
 			continue
 		}
 		r.owner = p.ownerOf(r.pool)
-		if r.stage != stageKeep {
-			t.Send(r.owner.host, core.Claim{Ask: r.ask, Placed: r.placed, Decoding: r.stage == stageDecode})
-		}
+		p.claim(t, r)
 	}
 	for _, k := range sortedDones(p.dones) {
 		d := p.dones[k]
@@ -64,6 +62,54 @@
 	}
 }
 
+// claim tells the dispatcher of an attempt that runs.
+func (p *part) claim(t *core.Turn, r *request) {
+	if r.stage == stagePrefill || r.stage == stageDecode || r.stage == stageCall {
+		t.Send(r.owner.host, core.Claim{Ask: r.ask, Placed: r.placed, Decoding: r.stage == stageDecode})
+	}
+}
+
+func (p *part) claimAll(t *core.Turn, attempts []core.AttemptID) {
+	for _, a := range attempts {
+		if r := p.requests[a.Request]; r != nil && r.attemptID() == a {
+			p.claim(t, r)
+		}
+	}
+}
+
+// listEvery is how often the dispatchers are told which attempts this host has.
+const listEvery = 5 * time.Second
+
+// sendLists tells each pool's dispatcher which attempts of it this host has; one with none is told once more.
+func (p *part) sendLists(t *core.Turn) {
+	lists := map[core.PoolID][]core.AttemptID{}
+	for pool := range p.listed {
+		lists[pool] = nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		if r := p.requests[id]; r.stage >= stagePlace && r.stage != stageKeep {
+			lists[r.pool] = append(lists[r.pool], r.attemptID())
+		}
+	}
+	p.list = time.Time{}
+	for _, pool := range slices.Sorted(maps.Keys(lists)) {
+		t.Send(p.ownerOf(pool).host, core.Holding{Pool: pool, Attempts: lists[pool]})
+		p.listed[pool]++
+		if len(lists[pool]) > 0 {
+			p.listed[pool] = 0
+		}
+		if p.listed[pool] > lastLists {
+			delete(p.listed, pool)
+		}
+	}
+	if len(p.listed) > 0 {
+		p.list = t.Now.Add(listEvery)
+	}
+}
+
+// lastLists is how often a dispatcher is told that this host has nothing any more.
+const lastLists = 4
+
 func sortedDones(m map[doneKey]*pendingDone) []doneKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b doneKey) int {
 		if c := cmp.Compare(a.attempt.Request, b.attempt.Request); c != 0 {
@@ -83,6 +129,9 @@
 }
 
 func (p *part) tick(t *core.Turn) {
+	if core.Due(p.list, t.Now) {
+		p.sendLists(t)
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
 		r := p.requests[id]
 		waits := r.stage == stageQuota || r.stage == stagePlace
@@ -110,7 +159,7 @@
 }
 
 func (p *part) nextDeadline() time.Time {
-	var next time.Time
+	next := p.list
 	for _, r := range p.requests {
 		switch r.stage {
 		case stageQuota:
--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -28,6 +28,8 @@
 	// Plugins are the plug-ins of each kernel; empty means all registered ones.
 	Plugins []core.Plugin
 	Limits  core.Limits
+	// ClockRate is how fast a host's clock goes, where 1 is right; nil means that all are right.
+	ClockRate func(h core.HostID) float64
 }
 
 // Host is one host of a run.
@@ -45,6 +47,7 @@
 	// life tells events of an earlier start from those of this one.
 	life int
 	wake time.Time
+	rate float64
 }
 
 // Run is several kernels over a list of messages.
@@ -56,7 +59,7 @@
 	Cut func(from, to core.HostID) bool
 	// OnAction sees every action that is neither a message nor a write.
 	OnAction func(h *Host, a core.Action)
-	// Bytes, if set, is called for each message sent.
+	// OnSend sees every message that is sent.
 	OnSend func(from *Host, m core.SendMessage)
 
 	config Config
@@ -110,7 +113,10 @@
 		r.config.Limits = core.DefaultLimits()
 	}
 	for i := range c.Hosts {
-		h := &Host{ID: HostID(i)}
+		h := &Host{ID: HostID(i), rate: 1}
+		if c.ClockRate != nil {
+			h.rate = c.ClockRate(h.ID)
+		}
 		if i < c.Keepers {
 			h.newDisk()
 		}
@@ -231,22 +237,38 @@
 }
 
 func (r *Run) step(h *Host, ev core.Event) {
-	for _, a := range h.Kernel.Step(r.Now, ev) {
+	for _, a := range h.Kernel.Step(h.clock(r.Now), ev) {
 		r.perform(h, a)
 	}
 	r.arm(h)
 }
 
+// clock returns the time on a host's own clock.
+func (h *Host) clock(now time.Time) time.Time {
+	if h.rate == 1 {
+		return now
+	}
+	return Start.Add(time.Duration(float64(now.Sub(Start)) * h.rate))
+}
+
+// until returns how long it takes until a host's own clock shows a time.
+func (h *Host) until(now, t time.Time) time.Duration {
+	if h.rate == 1 {
+		return t.Sub(now)
+	}
+	return time.Duration(float64(t.Sub(h.clock(now)))/h.rate) + 1
+}
+
 // arm schedules the host's next tick.
 func (r *Run) arm(h *Host) {
 	next := h.Kernel.NextDeadline()
-	if next.IsZero() || (!h.wake.IsZero() && !next.Before(h.wake) && h.wake.After(r.Now)) {
+	if next.IsZero() || (!h.wake.IsZero() && !next.Before(h.wake) && h.wake.After(h.clock(r.Now))) {
 		return
 	}
 	h.wake = next
-	r.schedule(h, max(0, next.Sub(r.Now)), func() {
+	r.schedule(h, max(0, h.until(r.Now, next)), func() {
 		h.wake = time.Time{}
-		if core.Due(h.Kernel.NextDeadline(), r.Now) {
+		if core.Due(h.Kernel.NextDeadline(), h.clock(r.Now)) {
 			r.step(h, core.Tick{})
 			return
 		}
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -89,6 +89,13 @@
 // Due reports whether a deadline was set and has come.
 func Due(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
 
+// clockSlack is the share of a lease that its holder gives up, so that a clock which is slower than the grantor's by
+// as much does no harm.
+const clockSlack = 20
+
+// HolderTime returns how long the holder of a lease may use it, where the grantor counts with the whole.
+func HolderTime(lease time.Duration) time.Duration { return lease - lease/clockSlack }
+
 // Turn is one call of Step as a part sees it.
 type Turn struct {
 	Now    time.Time
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -79,7 +79,7 @@
 	if m.Version < h.tables.Version || !h.update(t, m) {
 		return
 	}
-	if until := at.Add(Time); until.After(h.until) {
+	if until := at.Add(core.HolderTime(Time)); until.After(h.until) {
 		h.until = until
 		t.Post(core.LeaseChanged{Until: until})
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -171,6 +171,10 @@
 		p.dirty = true
 		return
 	}
+	if m.State == core.MemberDead && k.State == core.MemberAlive {
+		// A host that was cut off calls all others dead; each of them gets the time to contradict.
+		m.State = core.MemberSuspect
+	}
 	if !newer(m, k.Member) {
 		return
 	}
--- a/core/message.go
+++ b/core/message.go
@@ -223,6 +223,7 @@
 // Placed tells where an attempt may run.
 type Placed struct {
 	Attempt AttemptID `cbor:"attempt"`
+	Pool    PoolID    `cbor:"pool"`
 	Epoch   Epoch     `cbor:"epoch"`
 	// Prefill is unset for a plain service; Decode is where the answer comes from.
 	Prefill     UpstreamID     `cbor:"prefill"`
@@ -265,6 +266,18 @@
 	Decoding bool `cbor:"decoding"`
 }
 
+// Holding tells a dispatcher now and then which attempts of a pool an entry host has, so that what was lost on the way
+// is found on both sides.
+type Holding struct {
+	Pool     PoolID      `cbor:"pool"`
+	Attempts []AttemptID `cbor:"attempts"`
+}
+
+// HoldingUnknown tells an entry host which of its running attempts the dispatcher does not know.
+type HoldingUnknown struct {
+	Attempts []AttemptID `cbor:"attempts"`
+}
+
 // UpstreamNews forwards an upstream's words to its pool's dispatcher.
 type UpstreamNews struct {
 	Announcement *Announcement `cbor:"announcement,omitempty"`
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -274,7 +274,7 @@
 
 func (h *holder) lent(t *core.Turn, a *account, at time.Time, l core.QuotaLent) {
 	if l.Lent > 0 {
-		a.grants = append(a.grants, grant{amount: l.Lent, till: at.Add(Lease), epoch: h.epoch})
+		a.grants = append(a.grants, grant{amount: l.Lent, till: at.Add(core.HolderTime(Lease)), epoch: h.epoch})
 	}
 	h.serve(t, a)
 	if len(a.waiters) == 0 {
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -52,6 +52,7 @@
 // Counting spent tokens in the replicated log was rejected: a commit for each request costs more than the request's
 // routing. A fixed share of the rate for each host was rejected: with uneven traffic it refuses inside the rate.
 type owner struct {
+	// relend is a fault for tests: a new owner lends at once, and as if nothing were lent.
 	relend  bool
 	leading bool
 	epoch   core.Epoch
@@ -153,6 +154,9 @@
 	b := o.buckets[a.ID]
 	if b == nil {
 		b = &bucket{filled: o.opens}
+		if o.relend {
+			b.level = float64(a.Burst)
+		}
 		o.buckets[a.ID] = b
 	}
 	b.loans = slices.DeleteFunc(b.loans, func(l loan) bool { return !now.Before(l.till) })
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -15,7 +15,7 @@
 
 func init() { core.Register(Plugin(false)) }
 
-// Plugin returns the plug-in; relend, for tests only, lets a new owner lend before the old loans have run out.
+// Plugin returns the plug-in; relend, for tests only, lets a new owner lend as if no loans were running.
 func Plugin(relend bool) core.Plugin {
 	return core.Plugin{Name: "quota", Rank: rank, New: func(env core.Env) core.Part { return newPart(env, relend) }}
 }
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -38,6 +38,8 @@
 	typePlaceDoneReply
 	typeClaim
 	typeUpstreamNews
+	typeHolding
+	typeHoldingUnknown
 	typeEnd
 )
 
@@ -108,6 +110,10 @@
 		return typeClaim
 	case core.UpstreamNews:
 		return typeUpstreamNews
+	case core.Holding:
+		return typeHolding
+	case core.HoldingUnknown:
+		return typeHoldingUnknown
 	}
 	return 0
 }
@@ -143,6 +149,8 @@
 	typePlaceDoneReply:  decode[core.PlaceDoneReply],
 	typeClaim:           decode[core.Claim],
 	typeUpstreamNews:    decode[core.UpstreamNews],
+	typeHolding:         decode[core.Holding],
+	typeHoldingUnknown:  decode[core.HoldingUnknown],
 }
 
 var (
