--- a/core/member/member.go
+++ b/core/member/member.go
@@ -206,6 +206,7 @@
 	if core.Due(p.next, t.Now) {
 		p.next = t.Now.Add(ProbeEvery)
 		p.startProbe(t)
+		p.pingSuspects(t)
 		p.meetSeed(t)
 	}
 }
@@ -220,6 +221,16 @@
 	t.Send(target, core.Ping{Seq: p.seq, From: p.self, Known: len(p.hosts), News: p.news(target)})
 }
 
+// pingSuspects gives every suspect the chance to contradict this host directly, so that a few lost messages do not
+// make a live host count as dead.
+func (p *part) pingSuspects(t *core.Turn) {
+	for _, h := range slices.Sorted(maps.Keys(p.hosts)) {
+		if p.hosts[h].State == core.MemberSuspect && h != p.probe.target {
+			t.Send(h, core.Ping{From: p.self, Known: len(p.hosts), News: p.news(h)})
+		}
+	}
+}
+
 // nextTarget goes through the hosts in an order that is shuffled anew each time round, which bounds the time to the
 // next probe of a host; independent random choices would not.
 func (p *part) nextTarget() core.HostID {
