--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -122,6 +122,7 @@
 		pl := p.pool(t, a.Pool)
 		if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
 			pl.announce(*a, t.Now)
+			pl.refresh(pl.upstreams[a.ID], t.Now, p.tables.Policy(pl.id))
 		}
 		p.serve(t, pl)
 	}
@@ -136,7 +137,7 @@
 	if u == nil {
 		return
 	}
-	u.reported(r)
+	u.reported(r, pl.hintLimit())
 	for _, a := range pl.strangers(u, r, t.Now) {
 		p.cancel(t, a, u.Addr)
 	}
@@ -148,10 +149,10 @@
 		t.Send(from, h.placed)
 		return
 	}
-	if pl.queue.find(m.Attempt, m.Account) != nil {
+	if pl.queue.has(m.Attempt) {
 		return
 	}
-	if pl.queue.size >= p.limits.Requests {
+	if pl.queue.size() >= p.limits.Requests {
 		t.Send(from, core.PlaceRefused{Attempt: m.Attempt, Failure: *core.Fail(core.KindOverloaded, "the queue of %s is full", m.Pool)})
 		return
 	}
@@ -161,27 +162,42 @@
 
 // serve places attempts in the order of the fair queue until one finds no place.
 func (p *part) serve(t *core.Turn, pl *pool) {
-	policy := p.tables.Policy(pl.id)
-	for {
-		placed := false
-		for _, w := range pl.queue.heads() {
-			h, c, ok := pl.place(w, t.Now, policy, p.epoch)
-			if !ok {
-				continue
-			}
-			pl.queue.pop(w)
-			h.boot = p.bootOf(w.from)
-			t.Decide(decision(h, c, t.Now.Sub(w.arrived)))
-			t.Send(w.from, h.placed)
-			placed = true
-			break
-		}
-		if !placed {
-			return
-		}
+	for p.placeNext(t, pl) {
 	}
 }
 
+// maxPassed is how many attempts may be passed over because they need more memory than is free anywhere.
+const maxPassed = 8
+
+// passedFor is how long an attempt may be passed over; after that memory is left to gather for it.
+const passedFor = time.Second
+
+// placeNext places the first attempt in the order of the queue that finds room.
+func (p *part) placeNext(t *core.Turn, pl *pool) bool {
+	var next *waiting
+	var h *held
+	var c choice
+	passed := 0
+	pl.queue.heads(func(w *waiting) bool {
+		var v verdict
+		h, c, v = pl.place(w, t.Now, p.epoch)
+		if v == verdictPlaced {
+			next = w
+			return false
+		}
+		passed++
+		return v == verdictNoMemory && passed < maxPassed && t.Now.Sub(w.arrived) < passedFor
+	})
+	if next == nil {
+		return false
+	}
+	pl.queue.pop(next)
+	h.boot = p.bootOf(next.from)
+	t.Decide(decision(h, c, t.Now.Sub(next.arrived)))
+	t.Send(next.from, h.placed)
+	return true
+}
+
 func decision(h *held, c choice, waited time.Duration) core.Decision {
 	target := string(h.placed.Decode)
 	if h.placed.Prefill != "" {
@@ -231,6 +247,7 @@
 	}
 	if u := pl.upstreams[m.Failed]; u != nil {
 		u.failed(t.Now)
+		pl.refresh(u, t.Now, p.tables.Policy(pl.id))
 		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
 	}
 	if m.PrefillOnly {
@@ -344,12 +361,14 @@
 }
 
 func sortedAttempts(m map[core.AttemptID]*held) []core.AttemptID {
-	return slices.SortedFunc(maps.Keys(m), func(a, b core.AttemptID) int {
-		if c := cmp.Compare(a.Request, b.Request); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Number, b.Number)
-	})
+	return slices.SortedFunc(maps.Keys(m), compareAttempts)
+}
+
+func compareAttempts(a, b core.AttemptID) int {
+	if c := cmp.Compare(a.Request, b.Request); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Number, b.Number)
 }
 
 func (p *part) tick(t *core.Turn) {
@@ -368,6 +387,7 @@
 
 func (p *part) sweepPool(t *core.Turn, pl *pool) {
 	pl.forget(t.Now)
+	pl.refreshAll(t.Now, p.tables.Policy(pl.id))
 	if len(pl.upstreams) > 0 {
 		pl.empty = t.Now
 	}
@@ -389,7 +409,7 @@
 		}
 	}
 	keys := slices.SortedFunc(maps.Keys(p.cancels), func(a, b cancelKey) int {
-		if c := cmp.Compare(a.attempt.String(), b.attempt.String()); c != 0 {
+		if c := compareAttempts(a.attempt, b.attempt); c != 0 {
 			return c
 		}
 		return a.addr.Compare(b.addr)
@@ -405,7 +425,7 @@
 func (p *part) gauges(set func(string, int64)) {
 	var queued, heldCount, upstreams int
 	for _, pl := range p.pools {
-		queued += pl.queue.size
+		queued += pl.queue.size()
 		heldCount += len(pl.held)
 		upstreams += len(pl.upstreams)
 	}
--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,229 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+	"oleanderlever/core/dispatch"
+	"oleanderlever/core/harness"
+)
+
+const pool = core.PoolID("m")
+
+// desk is one kernel with a dispatcher, and what it said last.
+type desk struct {
+	k       *core.Kernel
+	now     time.Time
+	placed  map[core.AttemptID]core.Placed
+	refused map[core.AttemptID]core.Failure
+	order   []core.AccountID
+}
+
+func newDesk(hosts ...core.Member) *desk {
+	d := &desk{now: harness.Start, placed: map[core.AttemptID]core.Placed{}, refused: map[core.AttemptID]core.Failure{}}
+	env := core.Env{Self: "d", Rand: rand.New(rand.NewPCG(1, 1)), Limits: core.DefaultLimits()}
+	d.k = core.New(env, dispatch.Plugin())
+	d.step(core.MembersChanged{Members: append([]core.Member{{Host: "d", Boot: 1, State: core.MemberAlive}}, hosts...)})
+	return d
+}
+
+func (d *desk) step(ev core.Event) []core.Action {
+	actions := d.k.Step(d.now, ev)
+	for _, a := range actions {
+		m, ok := a.(core.SendMessage)
+		if !ok {
+			if l, ok := a.(core.LogDecision); ok && l.Decision.Choice == "place" {
+				d.order = append(d.order, l.Decision.Account)
+			}
+			continue
+		}
+		switch m := m.Message.(type) {
+		case core.Placed:
+			d.placed[m.Attempt] = m
+		case core.PlaceRefused:
+			d.refused[m.Attempt] = m.Failure
+		}
+	}
+	return actions
+}
+
+func (d *desk) pass(t time.Duration) {
+	d.now = d.now.Add(t)
+	d.step(core.Tick{})
+}
+
+func (d *desk) engine(id core.UpstreamID, role core.Role, slots, pieces, port int) {
+	d.step(core.UpstreamAnnounced{Announcement: core.Announcement{
+		ID: id, Pool: pool, Role: role, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(port)), Incarnation: 1, Slots: slots, Pieces: pieces,
+	}})
+}
+
+func attempt(n int) core.AttemptID {
+	return core.AttemptID{Request: core.RequestID(fmt.Sprintf("r%d", n)), Number: 1}
+}
+
+func (d *desk) ask(n int, account core.AccountID, tokens core.Tokens) core.PlaceAsk {
+	a := core.PlaceAsk{Attempt: attempt(n), Account: account, Pool: pool, Weight: 1, Prompt: tokens, Output: 100, Left: time.Minute}
+	d.step(core.Received{From: "e", Message: a})
+	return a
+}
+
+func (d *desk) done(n int) {
+	d.step(core.Received{From: "e", Message: core.PlaceDone{Attempt: attempt(n), Pool: pool}})
+}
+
+var entryHost = core.Member{Host: "e", Boot: 1, State: core.MemberAlive, Leaving: true}
+
+func TestDecodeIsReservedBeforePrefill(t *testing.T) {
+	d := newDesk(entryHost)
+	d.engine("p", core.RolePrefill, 1, 64, 1)
+	d.ask(1, "a", 100)
+	require.Empty(t, d.placed, "a prefill without a decode slot would be wasted")
+	d.engine("q", core.RoleDecode, 1, 64, 2)
+	require.Contains(t, d.placed, attempt(1))
+	d.ask(2, "a", 100)
+	require.NotContains(t, d.placed, attempt(2))
+	d.done(1)
+	require.Contains(t, d.placed, attempt(2))
+}
+
+func TestMemoryIsReservedInPieces(t *testing.T) {
+	d := newDesk(entryHost)
+	d.engine("p", core.RolePrefill, 1, 64, 1)
+	d.engine("q", core.RoleDecode, 20, 4, 2)
+	d.ask(1, "a", 3*core.PieceTokens)
+	d.ask(2, "a", 10)
+	require.Contains(t, d.placed, attempt(1))
+	require.NotContains(t, d.placed, attempt(2), "the first takes 4 pieces with its output")
+	d.done(1)
+	require.Contains(t, d.placed, attempt(2))
+}
+
+// One account that floods the queue does not keep the others waiting.
+func TestQueueIsFairBetweenAccounts(t *testing.T) {
+	d := newDesk(entryHost)
+	d.engine("p", core.RolePrefill, 1, 64, 1)
+	d.engine("q", core.RoleDecode, 1, 64, 2)
+	for n := range 50 {
+		d.ask(n, "flood", 100)
+	}
+	for n := range 5 {
+		d.ask(100+n, "calm", 100)
+	}
+	for n := range 12 {
+		d.doneAny()
+		d.pass(time.Duration(n))
+	}
+	calm := 0
+	for _, a := range d.order[:12] {
+		if a == "calm" {
+			calm++
+		}
+	}
+	require.Equal(t, 5, calm, "%v", d.order)
+}
+
+// doneAny ends the attempt that was placed last.
+func (d *desk) doneAny() {
+	for a := range d.placed {
+		delete(d.placed, a)
+		d.step(core.Received{From: "e", Message: core.PlaceDone{Attempt: a, Pool: pool}})
+		return
+	}
+}
+
+func TestPrefixHintsAttractPrefills(t *testing.T) {
+	d := newDesk(entryHost)
+	d.engine("p1", core.RolePrefill, 1, 64, 1)
+	d.engine("p2", core.RolePrefill, 1, 64, 2)
+	d.engine("q", core.RoleDecode, 20, 64, 3)
+	d.step(core.UpstreamReported{Report: core.Report{ID: "p2", Pool: pool, Incarnation: 1, Seq: 1, Stored: []uint64{7, 8}}})
+	a := core.PlaceAsk{Attempt: attempt(1), Account: "a", Pool: pool, Weight: 1, Prompt: 600, Output: 10, Blocks: []uint64{7, 8}, Left: time.Minute}
+	d.step(core.Received{From: "e", Message: a})
+	require.Equal(t, core.UpstreamID("p2"), d.placed[attempt(1)].Prefill)
+	// "Cache events from engines that arrive late and with gaps": a gap makes the hints worthless.
+	d.done(1)
+	d.step(core.UpstreamReported{Report: core.Report{ID: "p2", Pool: pool, Incarnation: 1, Seq: 9}})
+	a.Attempt = attempt(2)
+	d.step(core.Received{From: "e", Message: a})
+	require.Equal(t, core.UpstreamID("p1"), d.placed[attempt(2)].Prefill)
+}
+
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	d := newDesk(entryHost)
+	d.engine("p", core.RolePrefill, 1, 64, 1)
+	d.engine("q1", core.RoleDecode, 20, 64, 2)
+	for n := range 3 {
+		d.ask(n, "a", 10)
+		d.step(core.Received{From: "e", Message: core.PlaceDone{Attempt: attempt(n), Pool: pool, Failed: "q1"}})
+	}
+	d.ask(10, "a", 10)
+	require.NotContains(t, d.placed, attempt(10))
+	d.engine("q1", core.RoleDecode, 20, 64, 2)
+	d.pass(time.Second)
+	require.Contains(t, d.placed, attempt(10), "the breaker closes again")
+}
+
+func TestQueuedAttemptsAreRefusedHonestly(t *testing.T) {
+	d := newDesk(entryHost)
+	d.ask(1, "a", 10)
+	d.pass(3 * time.Second)
+	require.Equal(t, core.KindNoUpstream, d.refused[attempt(1)].Kind)
+	require.True(t, d.refused[attempt(1)].NotRun)
+}
+
+func TestPoolsMoveOnlyWithTheirHosts(t *testing.T) {
+	var members []core.Member
+	for n := range 9 {
+		members = append(members, core.Member{Host: harness.HostID(n)})
+	}
+	moved, lost := 0, 0
+	for n := range 1000 {
+		id := core.PoolID(fmt.Sprint("pool-", n))
+		before, _ := dispatch.Owner(id, members)
+		after, _ := dispatch.Owner(id, members[:8])
+		switch {
+		case before.Host == members[8].Host:
+			lost++
+		case before != after:
+			moved++
+		}
+	}
+	require.Zero(t, moved)
+	require.InDelta(t, 111, lost, 40)
+}
+
+// BenchmarkPlace measures one attempt's way through a loaded dispatcher: asked, placed, prefilled and done.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []struct{ runners, accounts int }{{12, 5}, {400, 5}, {2800, 1400}} {
+		b.Run(fmt.Sprintf("runners=%d/accounts=%d", size.runners, size.accounts), func(b *testing.B) {
+			d := newDesk(entryHost)
+			for n := range size.runners {
+				role := core.RoleDecode
+				if n%3 == 0 {
+					role = core.RolePrefill
+				}
+				d.engine(core.UpstreamID(fmt.Sprintf("u%04d", n)), role, 20, 64, n+1)
+			}
+			// A standing load of half the slots, and a head of each account waiting for memory that is not there.
+			load := size.runners * 2 / 3 * 10
+			for n := range load {
+				d.ask(-n-1, core.AccountID(fmt.Sprint("a", n%size.accounts)), 1000)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				account := core.AccountID(fmt.Sprint("a", n%size.accounts))
+				a := core.PlaceAsk{Attempt: attempt(n), Account: account, Pool: pool, Weight: 1, Prompt: 1000, Output: 100, Left: time.Minute}
+				d.k.Step(d.now, core.Received{From: "e", Message: a})
+				d.k.Step(d.now, core.Received{From: "e", Message: core.PlaceDone{Attempt: a.Attempt, Pool: pool}})
+			}
+		})
+	}
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -28,21 +27,68 @@
 	upstreams map[core.UpstreamID]*upstream
 	queue     fairQueue
 	held      map[core.AttemptID]*held
+	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
+	answering  orderedHeap[*upstream]
+	prefilling orderedHeap[*upstream]
+	// prefixes lists the engines that lately got a prompt with a first block.
+	prefixes map[uint64][]core.UpstreamID
 	// empty is since when the pool has had no upstream at all.
 	empty time.Time
 }
 
 func newPool(id core.PoolID, now time.Time) *pool {
-	return &pool{id: id, upstreams: map[core.UpstreamID]*upstream{}, queue: newFairQueue(), held: map[core.AttemptID]*held{}, empty: now}
+	return &pool{
+		id: id, upstreams: map[core.UpstreamID]*upstream{}, queue: newFairQueue(), held: map[core.AttemptID]*held{}, empty: now,
+		answering:  orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.answeringAt }, less: lessBusy},
+		prefilling: orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.prefillingAt }, less: shorterPrefill},
+		prefixes:   map[uint64][]core.UpstreamID{},
+	}
+}
+
+func lessBusy(a, b *upstream) bool {
+	if x, y := a.slots*b.Slots, b.slots*a.Slots; x != y {
+		return x < y
+	}
+	return a.ID < b.ID
 }
 
-// sorted returns the upstreams in order of their IDs.
-func (p *pool) sorted() []*upstream {
-	out := make([]*upstream, 0, len(p.upstreams))
-	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
-		out = append(out, p.upstreams[id])
+func shorterPrefill(a, b *upstream) bool {
+	if a.prefill != b.prefill {
+		return a.prefill < b.prefill
+	}
+	return a.ID < b.ID
+}
+
+// refresh puts an upstream where its load and its state belong.
+func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
+	usable := u.usable(now, policy)
+	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
+		p.answering.fix(u)
+	} else {
+		p.answering.remove(u)
+	}
+	if usable && u.Role.CanPrefill() {
+		p.prefilling.fix(u)
+	} else {
+		p.prefilling.remove(u)
+	}
+}
+
+// refreshAll drops what has fallen silent and takes back what has recovered.
+func (p *pool) refreshAll(now time.Time, policy core.UpstreamPolicy) {
+	for _, u := range p.upstreams {
+		p.refresh(u, now, policy)
+	}
+}
+
+// moved restores the order after an upstream's load has changed.
+func (p *pool) moved(u *upstream) {
+	if u.answeringAt >= 0 {
+		p.answering.fix(u)
+	}
+	if u.prefillingAt >= 0 {
+		p.prefilling.fix(u)
 	}
-	return out
 }
 
 // choice is the outcome of scoring upstreams for one place.
@@ -52,78 +98,147 @@
 	others []core.Candidate
 }
 
-// maxOthers bounds the runners-up in a log line.
-const maxOthers = 3
+const (
+	// maxOthers bounds the runners-up in a log line.
+	maxOthers = 3
+	// maxLooked bounds the upstreams looked at for one place.
+	maxLooked = 128
+)
 
-// choose picks the upstream with the lowest score; fits says which ones may be taken.
-func choose(list []*upstream, fits func(*upstream) bool, score func(*upstream) float64) choice {
-	var c choice
-	for _, u := range list {
-		if !fits(u) {
-			continue
-		}
-		s := score(u)
-		if c.best == nil || s < c.score {
-			if c.best != nil {
-				c.others = append(c.others, core.Candidate{Target: string(c.best.ID), Score: c.score})
-			}
-			c.best, c.score = u, s
-			continue
-		}
-		c.others = append(c.others, core.Candidate{Target: string(u.ID), Score: s})
+// add takes an upstream into the choice; the lowest score wins, and of equal ones the first.
+func (c *choice) add(u *upstream, score float64) {
+	if c.best == nil {
+		c.best, c.score = u, score
+		return
 	}
-	slices.SortStableFunc(c.others, func(a, b core.Candidate) int {
-		if a.Score < b.Score {
-			return -1
-		}
-		return 1
-	})
-	c.others = c.others[:min(maxOthers, len(c.others))]
-	return c
+	loser := core.Candidate{Target: string(u.ID), Score: score}
+	if score < c.score {
+		loser = core.Candidate{Target: string(c.best.ID), Score: c.score}
+		c.best, c.score = u, score
+	}
+	c.others = append(c.others, loser)
 }
 
-// place finds upstreams for an attempt and reserves them, or returns false where none is free.
-func (p *pool) place(w *waiting, now time.Time, policy core.UpstreamPolicy, epoch core.Epoch) (*held, choice, bool) {
-	list := p.sorted()
-	usable := func(u *upstream) bool { return u.usable(now, policy) }
-	avoided := func(u *upstream) bool { return slices.Contains(w.ask.Avoid, u.ID) }
-	if slices.ContainsFunc(list, func(u *upstream) bool { return usable(u) && !avoided(u) && serves(u, w.ask.Service) }) {
-		usable = func(u *upstream) bool { return u.usable(now, policy) && !avoided(u) }
-	}
+func (c *choice) full() bool { return c.best != nil && len(c.others) >= maxOthers }
+
+// verdict says whether an attempt got a place.
+type verdict uint8
+
+const (
+	verdictPlaced verdict = iota
+	// verdictNoMemory means that a smaller attempt might still get one.
+	verdictNoMemory
+	// verdictFull means that no attempt can get one now.
+	verdictFull
+)
+
+// place finds upstreams for an attempt and reserves them.
+func (p *pool) place(w *waiting, now time.Time, epoch core.Epoch) (*held, choice, verdict) {
 	pieces := core.Pieces(w.ask.Prompt + w.ask.Output)
-	decode := choose(list, func(u *upstream) bool {
-		if w.ask.Service {
-			return u.Role == core.RoleService && usable(u) && u.slots < u.Slots
-		}
-		return u.Role.CanDecode() && usable(u) && u.slots < u.Slots && u.pieces+pieces <= u.Pieces
-	}, func(u *upstream) float64 { return float64(u.slots) / float64(u.Slots) })
-	if decode.best == nil {
-		return nil, decode, false
+	if w.ask.Service {
+		pieces = 0
+	}
+	answer, v := p.chooseAnswering(w, pieces)
+	if v != verdictPlaced {
+		return nil, answer, v
 	}
-	h := &held{ask: w.ask, from: w.from, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
-	h.placed.Decode, h.placed.DecodeAddr = decode.best.ID, decode.best.Addr
+	h := &held{ask: w.ask, from: w.from, pieces: pieces, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
+	h.placed.Decode, h.placed.DecodeAddr = answer.best.ID, answer.best.Addr
 	if w.ask.Service {
 		p.reserve(h, now)
-		return h, decode, true
+		return h, answer, verdictPlaced
 	}
-	prefill := choose(list, func(u *upstream) bool { return u.Role.CanPrefill() && usable(u) },
-		func(u *upstream) float64 { return float64(u.prefill + w.ask.Prompt - u.cached(w.ask.Blocks)) })
+	prefill := p.choosePrefilling(w)
 	if prefill.best == nil {
-		return nil, prefill, false
+		return nil, prefill, verdictFull
 	}
 	h.placed.Prefill, h.placed.PrefillAddr = prefill.best.ID, prefill.best.Addr
-	h.pieces = pieces
 	h.prefill = max(1, w.ask.Prompt-prefill.best.cached(w.ask.Blocks))
 	p.reserve(h, now)
-	return h, prefill, true
+	p.remember(prefill.best, w.ask.Blocks)
+	return h, prefill, verdictPlaced
+}
+
+// chooseAnswering picks the least busy upstream with a free slot and enough memory. Upstreams at which the request
+// failed before are taken only where there is no other one.
+func (p *pool) chooseAnswering(w *waiting, pieces int) (choice, verdict) {
+	var c, avoided choice
+	looked, slots := 0, false
+	p.answering.ascend(func(u *upstream) bool {
+		if looked++; u.slots >= u.Slots || looked > maxLooked {
+			return false
+		}
+		slots = true
+		if w.ask.Service == (u.Role == core.RoleService) && (w.ask.Service || u.pieces+pieces <= u.Pieces) {
+			into := &c
+			if slices.Contains(w.ask.Avoid, u.ID) {
+				into = &avoided
+			}
+			into.add(u, float64(u.slots)/float64(u.Slots))
+		}
+		return !c.full()
+	})
+	if c.best == nil && len(p.answering.items) <= len(w.ask.Avoid) {
+		c = avoided
+	}
+	switch {
+	case c.best != nil:
+		return c, verdictPlaced
+	case slots:
+		return c, verdictNoMemory
+	}
+	return c, verdictFull
+}
+
+// choosePrefilling picks the engine with the least to compute before and for this prompt: among the shortest queues,
+// and among the engines that lately got a prompt with the same first block.
+func (p *pool) choosePrefilling(w *waiting) choice {
+	var c, avoided choice
+	seen := func(u *upstream) bool {
+		into := &c
+		if slices.Contains(w.ask.Avoid, u.ID) {
+			into = &avoided
+		}
+		into.add(u, float64(u.prefill+w.ask.Prompt-u.cached(w.ask.Blocks)))
+		return !c.full()
+	}
+	p.prefilling.ascend(seen)
+	if len(w.ask.Blocks) > 0 {
+		for _, id := range p.prefixes[w.ask.Blocks[0]] {
+			if u := p.upstreams[id]; u != nil && u.prefillingAt >= 0 && (c.best == nil || c.best.ID != id) {
+				seen(u)
+			}
+		}
+	}
+	if c.best == nil {
+		return avoided
+	}
+	return c
 }
 
-// serves reports whether an upstream can give an attempt its answer.
-func serves(u *upstream, service bool) bool {
-	if service {
-		return u.Role == core.RoleService
+const (
+	// maxPrefixes bounds the first blocks that are remembered, prefixEngines the engines for each.
+	maxPrefixes   = 1 << 16
+	prefixEngines = 4
+)
+
+// remember notes that an engine gets a prompt.
+func (p *pool) remember(u *upstream, blocks []uint64) {
+	u.remember(blocks, p.hintLimit())
+	if len(blocks) == 0 {
+		return
+	}
+	list := slices.DeleteFunc(p.prefixes[blocks[0]], func(id core.UpstreamID) bool { return id == u.ID })
+	list = slices.Insert(list, 0, u.ID)
+	p.prefixes[blocks[0]] = list[:min(len(list), prefixEngines)]
+	if len(p.prefixes) > maxPrefixes {
+		clear(p.prefixes)
 	}
-	return u.Role.CanDecode()
+}
+
+// hintLimit shares the memory for cache hints between the engines.
+func (p *pool) hintLimit() int {
+	return min(maxCacheBlocks, max(minCacheBlocks, maxPoolBlocks/max(1, len(p.upstreams))))
 }
 
 func (p *pool) reserve(h *held, now time.Time) {
@@ -132,16 +247,18 @@
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots++
 		d.pieces += h.pieces
+		p.moved(d)
 	}
 	if f := p.upstreams[h.placed.Prefill]; f != nil {
 		f.prefill += h.prefill
-		f.remember(h.ask.Blocks)
+		p.moved(f)
 	}
 }
 
 func (p *pool) releasePrefill(h *held) {
 	if f := p.upstreams[h.placed.Prefill]; f != nil {
 		f.prefill -= h.prefill
+		p.moved(f)
 	}
 	h.prefill = 0
 }
@@ -151,6 +268,7 @@
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots--
 		d.pieces -= h.pieces
+		p.moved(d)
 	}
 	delete(p.held, h.ask.Attempt)
 }
@@ -162,7 +280,8 @@
 		return
 	}
 	if u == nil || a.Incarnation > u.Incarnation {
-		u = &upstream{cache: map[uint64]uint64{}, strangers: map[core.AttemptID]time.Time{}}
+		p.drop(u)
+		u = &upstream{cache: map[uint64]uint64{}, strangers: map[core.AttemptID]time.Time{}, answeringAt: -1, prefillingAt: -1}
 		p.upstreams[a.ID] = u
 		p.recount(a.ID, u)
 	}
@@ -183,11 +302,20 @@
 	}
 }
 
+// drop takes an upstream out of the ledger.
+func (p *pool) drop(u *upstream) {
+	if u != nil {
+		p.answering.remove(u)
+		p.prefilling.remove(u)
+		delete(p.upstreams, u.ID)
+	}
+}
+
 // forget drops upstreams that have been silent for long.
 func (p *pool) forget(now time.Time) {
-	for id, u := range p.upstreams {
+	for _, u := range p.upstreams {
 		if now.Sub(u.heard) >= forgetAfter {
-			delete(p.upstreams, id)
+			p.drop(u)
 		}
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -16,101 +16,131 @@
 	deadline time.Time
 }
 
+// lane is one client account's part of the queue.
+type lane struct {
+	account core.AccountID
+	list    []*waiting
+	finish  float64
+	// at is the lane's place in the heap of lanes that have something waiting.
+	at int
+}
+
 // fairQueue shares a pool between client accounts by token cost.
 //
 // It is start-time fair queueing (Goyal, Vin, Cheng 1996): each attempt starts where its account's last one ended in
 // virtual time, and the earliest start goes first. Deficit round robin was rejected, since an attempt of tens of
 // thousands of tokens would make its rounds long; first come first served, since one account can then fill the queue.
 type fairQueue struct {
-	virtual  float64
-	finish   map[core.AccountID]float64
-	accounts map[core.AccountID][]*waiting
-	size     int
+	virtual float64
+	lanes   map[core.AccountID]*lane
+	busy    orderedHeap[*lane]
+	where   map[core.AttemptID]*lane
 }
 
 func newFairQueue() fairQueue {
-	return fairQueue{finish: map[core.AccountID]float64{}, accounts: map[core.AccountID][]*waiting{}}
+	return fairQueue{
+		lanes: map[core.AccountID]*lane{}, where: map[core.AttemptID]*lane{},
+		busy: orderedHeap[*lane]{at: func(l *lane) *int { return &l.at }, less: earlierLane},
+	}
+}
+
+func earlierLane(a, b *lane) bool {
+	if a.list[0].start != b.list[0].start {
+		return a.list[0].start < b.list[0].start
+	}
+	return a.account < b.account
 }
 
-// push puts an attempt at the end of its account's queue.
+func (q *fairQueue) size() int { return len(q.where) }
+
+// push puts an attempt at the end of its account's lane.
 func (q *fairQueue) push(w *waiting) {
 	id := w.ask.Account
-	w.start = max(q.virtual, q.finish[id])
-	q.finish[id] = w.start + cost(&w.ask)/float64(max(1, w.ask.Weight))
-	q.accounts[id] = append(q.accounts[id], w)
-	q.size++
+	l := q.lanes[id]
+	if l == nil {
+		l = &lane{account: id, at: -1}
+		q.lanes[id] = l
+	}
+	w.start = max(q.virtual, l.finish)
+	l.finish = w.start + cost(&w.ask)/float64(max(1, w.ask.Weight))
+	l.list = append(l.list, w)
+	q.where[w.ask.Attempt] = l
+	if len(l.list) == 1 {
+		q.busy.fix(l)
+	}
 }
 
 // cost is what an attempt takes of a pool, in tokens.
 func cost(a *core.PlaceAsk) float64 { return float64(max(1, a.Prompt+a.Output)) }
 
-// heads returns the first attempt of each account, the earliest start first.
-func (q *fairQueue) heads() []*waiting {
-	out := make([]*waiting, 0, len(q.accounts))
-	for _, list := range q.accounts {
-		out = append(out, list[0])
-	}
-	slices.SortFunc(out, func(a, b *waiting) int {
-		switch {
-		case a.start < b.start:
-			return -1
-		case a.start > b.start:
-			return 1
-		case a.ask.Account < b.ask.Account:
-			return -1
-		}
-		return 1
-	})
-	return out
+// heads calls visit with the first attempt of each account, the earliest start first, until it returns false.
+func (q *fairQueue) heads(visit func(w *waiting) bool) {
+	q.busy.ascend(func(l *lane) bool { return visit(l.list[0]) })
 }
 
-// pop takes out the first attempt of an account and moves virtual time on to it.
+// pop takes out an attempt that was placed and moves virtual time on to it.
 func (q *fairQueue) pop(w *waiting) {
 	q.virtual = max(q.virtual, w.start)
 	q.drop(w)
 }
 
 func (q *fairQueue) drop(w *waiting) {
-	id := w.ask.Account
-	list := slices.DeleteFunc(q.accounts[id], func(o *waiting) bool { return o == w })
-	q.size--
-	if len(list) > 0 {
-		q.accounts[id] = list
-		return
-	}
-	delete(q.accounts, id)
-	if q.finish[id] <= q.virtual {
-		delete(q.finish, id)
+	l := q.where[w.ask.Attempt]
+	delete(q.where, w.ask.Attempt)
+	head := l.list[0] == w
+	l.list = slices.DeleteFunc(l.list, func(o *waiting) bool { return o == w })
+	switch {
+	case len(l.list) == 0:
+		l.list = []*waiting{w}
+		q.busy.remove(l)
+		l.list = nil
+		q.forget(l)
+	case head:
+		q.busy.fix(l)
 	}
 }
 
-func (q *fairQueue) find(a core.AttemptID, account core.AccountID) *waiting {
-	for _, w := range q.accounts[account] {
-		if w.ask.Attempt == a {
-			return w
+// forget drops an empty lane whose account has used no more than its share; one that is ahead is remembered until
+// virtual time has caught up with it.
+func (q *fairQueue) forget(l *lane) {
+	if l.finish <= q.virtual {
+		delete(q.lanes, l.account)
+		return
+	}
+	if len(q.lanes) <= maxLanes {
+		return
+	}
+	for id, other := range q.lanes {
+		if len(other.list) == 0 && other.finish <= q.virtual {
+			delete(q.lanes, id)
 		}
 	}
-	return nil
 }
 
+// maxLanes is how many lanes are kept before the idle ones are looked through.
+const maxLanes = 4096
+
+func (q *fairQueue) has(a core.AttemptID) bool { return q.where[a] != nil }
+
 // remove takes an attempt out wherever it stands.
-func (q *fairQueue) remove(a core.AttemptID) *waiting {
-	for _, list := range q.accounts {
-		for _, w := range list {
-			if w.ask.Attempt == a {
-				q.drop(w)
-				return w
-			}
+func (q *fairQueue) remove(a core.AttemptID) {
+	l := q.where[a]
+	if l == nil {
+		return
+	}
+	for _, w := range l.list {
+		if w.ask.Attempt == a {
+			q.drop(w)
+			return
 		}
 	}
-	return nil
 }
 
 // late takes out the attempts that pass a test, in order of their arrival.
 func (q *fairQueue) late(test func(*waiting) bool) []*waiting {
 	var out []*waiting
-	for _, list := range q.accounts {
-		for _, w := range list {
+	for _, l := range q.lanes {
+		for _, w := range l.list {
 			if test(w) {
 				out = append(out, w)
 			}
@@ -123,10 +153,7 @@
 		if d := a.arrived.Compare(b.arrived); d != 0 {
 			return d
 		}
-		if a.ask.Attempt.String() < b.ask.Attempt.String() {
-			return -1
-		}
-		return 1
+		return compareAttempts(a.ask.Attempt, b.ask.Attempt)
 	})
 	return out
 }
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -18,8 +18,10 @@
 	breakAfter = 3
 	breakFor   = 500 * time.Millisecond
 	breakMost  = 8 * time.Second
-	// maxCacheBlocks bounds the prefix hints kept of one engine.
+	// The prefix hints kept of one engine are bounded, and those of a whole pool.
 	maxCacheBlocks = 8192
+	minCacheBlocks = 128
+	maxPoolBlocks  = 1 << 20
 )
 
 // upstream is one engine or service instance in the dispatcher's ledger.
@@ -38,6 +40,9 @@
 	failures  int
 	openUntil time.Time
 	backoff   time.Duration
+	// answeringAt and prefillingAt are the places in the pool's heaps, or -1.
+	answeringAt  int
+	prefillingAt int
 }
 
 // usable reports whether an upstream may get new work.
@@ -70,7 +75,7 @@
 }
 
 // reported takes a report's cache events; a gap in the sequence makes every older hint worthless.
-func (u *upstream) reported(r *core.Report) {
+func (u *upstream) reported(r *core.Report, limit int) {
 	if r.Incarnation != u.Incarnation || r.Seq <= u.seq {
 		return
 	}
@@ -81,19 +86,20 @@
 	for _, b := range r.Evicted {
 		delete(u.cache, b)
 	}
-	u.remember(r.Stored)
+	u.remember(r.Stored, limit)
 }
 
-func (u *upstream) remember(blocks []uint64) {
+// remember notes blocks and, past the limit, forgets the older half.
+func (u *upstream) remember(blocks []uint64, limit int) {
 	for _, b := range blocks {
 		u.clock++
 		u.cache[b] = u.clock
 	}
-	if len(u.cache) <= maxCacheBlocks {
+	if len(u.cache) <= limit {
 		return
 	}
 	for b, at := range u.cache {
-		if at+maxCacheBlocks/2 < u.clock {
+		if at+uint64(limit)/2 < u.clock {
 			delete(u.cache, b)
 		}
 	}
--- /dev/null
+++ b/core/kernel_test.go
@@ -0,0 +1,81 @@
+package core_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+	"oleanderlever/core/harness"
+)
+
+type note struct{ text string }
+
+// echo is a plug-in that answers every note once and keeps a list of what it saw.
+func echo(name string, rank int, seen *[]string) core.Plugin {
+	return core.Plugin{Name: name, Rank: rank, New: func(core.Env) core.Part {
+		return core.Part{Handle: func(t *core.Turn, ev core.Event) {
+			if n, ok := ev.(note); ok {
+				*seen = append(*seen, name+":"+n.text)
+				if n.text == "first" {
+					t.Post(note{text: "from " + name})
+				}
+			}
+		}}
+	}}
+}
+
+func TestPartsSeeEventsByRankAndPostsInOrder(t *testing.T) {
+	var seen []string
+	k := core.New(core.Env{Self: "h"}, echo("late", 2, &seen), echo("early", 1, &seen))
+	k.Step(harness.Start, note{text: "first"})
+	require.Equal(t, []string{"early:first", "late:first", "early:from early", "late:from early", "early:from late", "late:from late"}, seen)
+}
+
+func TestMessageToOwnHostArrivesInTheSameStep(t *testing.T) {
+	var got []core.HostID
+	p := core.Plugin{Name: "p", New: func(core.Env) core.Part {
+		return core.Part{Handle: func(t *core.Turn, ev core.Event) {
+			switch e := ev.(type) {
+			case note:
+				t.Send("h", core.FormAsk{})
+				t.Send("other", core.FormAsk{})
+			case core.Received:
+				got = append(got, e.From)
+			}
+		}}
+	}}
+	k := core.New(core.Env{Self: "h"}, p)
+	actions := k.Step(harness.Start, note{})
+	require.Equal(t, []core.HostID{"h"}, got)
+	require.Equal(t, []core.Action{core.SendMessage{To: "other", Message: core.FormAsk{}}}, actions)
+}
+
+func TestKindsHaveNamesAndRows(t *testing.T) {
+	names := map[string]bool{}
+	for _, k := range core.Kinds() {
+		require.NotEmpty(t, k.String())
+		require.False(t, names[k.String()], k.String())
+		names[k.String()] = true
+	}
+	require.Equal(t, core.KindInternal, core.FailureOf(errors.New("x")).Kind)
+	require.Nil(t, core.FailureOf(nil))
+}
+
+func TestEarlierAndDue(t *testing.T) {
+	var never time.Time
+	require.Equal(t, harness.Start, core.Earlier(never, harness.Start))
+	require.Equal(t, harness.Start, core.Earlier(harness.Start, harness.Start.Add(1)))
+	require.False(t, core.Due(never, harness.Start))
+	require.True(t, core.Due(harness.Start, harness.Start))
+}
+
+func TestRoutesMatchWholeSegments(t *testing.T) {
+	tables := &core.Tables{Routes: []core.Route{{Name: "a", Path: "/a"}, {Name: "ab", Path: "/a/b"}, {Name: "c", Path: "/c/"}}}
+	for path, want := range map[string]string{"/a": "a", "/a/x": "a", "/a/b/x": "ab", "/ab": "", "/c": "c", "/c/d": "c", "/": ""} {
+		r, _ := tables.RouteFor(path)
+		require.Equal(t, want, r.Name, path)
+	}
+}
