core/order, io/console: fenced orders to engines and a load tool

An assignment in the configuration says what an engine should be. Weighed: orders by the dispatchers, of which two may exist at once.

--- a/core/check.go
+++ b/core/check.go
@@ -41,6 +41,8 @@
 		return m.Ask.check()
 	case UpstreamNews:
 		return m.check()
+	case OrderWanted:
+		return m.Announcement.Check()
 	}
 	return nil
 }
--- a/core/config.go
+++ b/core/config.go
@@ -65,6 +65,22 @@
 	Drained []UpstreamID `cbor:"drained" json:"drained"`
 }
 
+// Assignment is what an engine should be; the leader orders it where the engine announces something else.
+type Assignment struct {
+	Upstream UpstreamID `cbor:"upstream" json:"upstream"`
+	Pool     PoolID     `cbor:"pool"     json:"pool"`
+	Role     Role       `cbor:"role"     json:"role"`
+	// Version names the weights and Adapter what is loaded on top; empty means that any will do.
+	Version string `cbor:"version" json:"version"`
+	Adapter string `cbor:"adapter" json:"adapter"`
+}
+
+// Met reports whether an engine already is what it should be.
+func (a *Assignment) Met(by *Announcement) bool {
+	return a.Pool == by.Pool && a.Role == by.Role &&
+		(a.Version == "" || a.Version == by.Version) && (a.Adapter == "" || a.Adapter == by.Adapter)
+}
+
 // ChangeKind says which field of a Change is set.
 type ChangeKind uint8
 
@@ -79,6 +95,8 @@
 	ChangePutModel
 	ChangeDeleteModel
 	ChangePutPolicy
+	ChangePutAssignment
+	ChangeDeleteAssignment
 )
 
 var changeNames = map[ChangeKind]string{
@@ -86,7 +104,7 @@
 	ChangeAddKey: "addKey", ChangeWithdrawKey: "withdrawKey",
 	ChangePutRoute: "putRoute", ChangeDeleteRoute: "deleteRoute",
 	ChangePutModel: "putModel", ChangeDeleteModel: "deleteModel",
-	ChangePutPolicy: "putPolicy",
+	ChangePutPolicy: "putPolicy", ChangePutAssignment: "putAssignment", ChangeDeleteAssignment: "deleteAssignment",
 }
 
 // String returns the kind's name in own formats.
@@ -100,6 +118,8 @@
 	Route   Route          `cbor:"route,omitzero"    json:"route,omitzero"`
 	Model   Model          `cbor:"model,omitzero"    json:"model,omitzero"`
 	Policy  UpstreamPolicy `cbor:"policy,omitzero"   json:"policy,omitzero"`
+	// Assignment is what an engine should be.
+	Assignment Assignment `cbor:"assignment,omitzero" json:"assignment,omitzero"`
 }
 
 const (
@@ -130,6 +150,10 @@
 		return CheckName("model.id", string(c.Model.ID))
 	case ChangePutPolicy:
 		return c.Policy.check()
+	case ChangePutAssignment:
+		return c.Assignment.check()
+	case ChangeDeleteAssignment:
+		return CheckName("assignment.upstream", string(c.Assignment.Upstream))
 	}
 	return Fail(KindBadRequest, "change: kind %d is not known", c.Kind)
 }
@@ -190,6 +214,19 @@
 	return CheckName("policy.pool", string(p.Pool))
 }
 
+func (a *Assignment) check() error {
+	if err := CheckName("assignment.upstream", string(a.Upstream)); err != nil {
+		return err
+	}
+	if !a.Role.CanPrefill() && !a.Role.CanDecode() {
+		return Fail(KindBadRequest, "assignment.role: %q is no engine's role", a.Role)
+	}
+	if len(a.Version) > maxNameBytes || len(a.Adapter) > maxNameBytes {
+		return Fail(KindBadRequest, "assignment: version or adapter too long")
+	}
+	return CheckName("assignment.pool", string(a.Pool))
+}
+
 // Tables is one version of the configuration; once published it is never changed.
 type Tables struct {
 	Version  Version          `cbor:"version"  json:"version"`
@@ -198,6 +235,8 @@
 	Routes   []Route          `cbor:"routes"   json:"routes"`
 	Models   []Model          `cbor:"models"   json:"models"`
 	Policies []UpstreamPolicy `cbor:"policies" json:"policies"`
+	// Assignments are the engines that should be something else than they were started as.
+	Assignments []Assignment `cbor:"assignments" json:"assignments"`
 
 	keyByHash map[KeyHash]Key
 }
@@ -235,6 +274,11 @@
 	return p
 }
 
+// Assignment returns what an engine should be, if anything is said of it.
+func (s *Tables) Assignment(id UpstreamID) (Assignment, bool) {
+	return find(s.Assignments, id, func(a Assignment) UpstreamID { return a.Upstream })
+}
+
 // RouteFor returns the route with the longest prefix of the path; a prefix ends at a slash.
 func (s *Tables) RouteFor(path string) (Route, bool) {
 	var best Route
@@ -317,6 +361,10 @@
 		s.Models, ok = remove(s.Models, c.Model.ID, func(m Model) PoolID { return m.ID })
 	case ChangePutPolicy:
 		s.Policies = put(s.Policies, c.Policy, func(p UpstreamPolicy) PoolID { return p.Pool })
+	case ChangePutAssignment:
+		s.Assignments = put(s.Assignments, c.Assignment, func(a Assignment) UpstreamID { return a.Upstream })
+	case ChangeDeleteAssignment:
+		s.Assignments, ok = remove(s.Assignments, c.Assignment.Upstream, func(a Assignment) UpstreamID { return a.Upstream })
 	}
 	if !ok {
 		return Fail(KindNotFound, "%s: there is no such entry", c.Kind)
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -246,6 +246,8 @@
 		subject = string(c.Model.ID)
 	case core.ChangePutPolicy:
 		subject = string(c.Policy.Pool)
+	case core.ChangePutAssignment, core.ChangeDeleteAssignment:
+		subject = string(c.Assignment.Upstream)
 	}
 	return fmt.Sprintf("%s %s", c.Kind, subject)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	self    core.HostID
 	limits  core.Limits
 	epoch   core.Epoch
+	leader  core.HostID
 	tables  *core.Tables
 	members []core.Member
 	pools   map[core.PoolID]*pool
@@ -63,7 +64,7 @@
 	case core.TablesChanged:
 		p.tables = e.Tables
 	case core.LeaderKnown:
-		p.epoch = e.Epoch
+		p.epoch, p.leader = e.Epoch, e.Leader
 	case core.MembersChanged:
 		p.membersChanged(t, e)
 	case core.UpstreamAnnounced:
@@ -124,6 +125,9 @@
 			pl.announce(*a, t.Now)
 			pl.refresh(pl.upstreams[a.ID], t.Now, p.tables.Policy(pl.id))
 		}
+		if want, ok := p.tables.Assignment(a.ID); ok && !want.Met(a) && !a.Leaving {
+			t.Send(p.leader, core.OrderWanted{Announcement: *a})
+		}
 		p.serve(t, pl)
 	}
 	if r := m.Report; r != nil {
--- a/core/message.go
+++ b/core/message.go
@@ -266,6 +266,11 @@
 	Decoding bool `cbor:"decoding"`
 }
 
+// OrderWanted tells the leader of an engine that is not what it should be.
+type OrderWanted struct {
+	Announcement Announcement `cbor:"announcement"`
+}
+
 // Holding tells a dispatcher now and then which attempts of a pool an entry host has, so that what was lost on the way
 // is found on both sides.
 type Holding struct {
--- /dev/null
+++ b/core/order/doc.go
@@ -0,0 +1,2 @@
+// Package order is the plug-in that makes engines what the configuration says they should be.
+package order
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -39,6 +39,9 @@
 	ChecksFencing bool `cbor:"checksFencing" json:"checksFencing"`
 	// Leaving upstreams get no new work.
 	Leaving bool `cbor:"leaving" json:"leaving"`
+	// Version names the weights that are loaded and Adapter what is on top of them.
+	Version string `cbor:"version" json:"version"`
+	Adapter string `cbor:"adapter" json:"adapter"`
 }
 
 const (
@@ -102,6 +105,28 @@
 // UpstreamReported tells that an upstream's report came to this host.
 type UpstreamReported struct{ Report Report }
 
+// Order tells an engine what to become.
+type Order struct {
+	Assignment Assignment
+	// Epoch is the fencing number: an engine that checks it refuses orders of an earlier leader.
+	Epoch Epoch
+}
+
+// SendOrder asks for an order to be sent, unless Until has passed by then; OrderEnded follows.
+type SendOrder struct {
+	Order    Order
+	Upstream netip.AddrPort
+	Timeout  time.Duration
+	Until    time.Time
+}
+
+// OrderEnded tells how an order ended.
+type OrderEnded struct {
+	Upstream UpstreamID
+	Epoch    Epoch
+	Failure  *Failure
+}
+
 // Member is a host as the other hosts see it.
 type Member struct {
 	Host       HostID         `cbor:"host"        json:"host"`
--- a/io/console/console.go
+++ b/io/console/console.go
@@ -33,6 +33,7 @@
 		{"engine", "Run a stand-in model engine", &engineCommand{}},
 		{"service", "Run a stand-in plain service", &serviceCommand{}},
 
+		{"load", "Drive running hosts and measure", &loadCommand{}},
 		{"demo", "Show the whole path on loopback", &demoCommand{}},
 	}
 }
--- a/io/console/ctl.go
+++ b/io/console/ctl.go
@@ -24,6 +24,7 @@
 	Route    routeCommand    `command:"route" description:"make or change a route to a plain service"`
 	Model    modelCommand    `command:"model" description:"make or change a model"`
 	Policy   policyCommand   `command:"policy" description:"say what may be relied on at a pool's upstreams"`
+	Assign   assignCommand   `command:"assign" description:"say what an engine should be; the leader orders it"`
 	Drain    drainCommand    `command:"drain" description:"shut the host that is asked down gracefully"`
 	Status   statusCommand   `command:"status" description:"show the whole system"`
 	History  historyCommand  `command:"history" description:"show the latest commands"`
@@ -191,6 +192,25 @@
 	return c.apply(&operator.Change{Change: &operator.Change_PutPolicy{PutPolicy: p}})
 }
 
+type assignCommand struct {
+	ctlFlags
+	Upstream string `long:"upstream" required:"true"`
+	Pool     string `long:"pool" required:"true" description:"model to load"`
+	Role     string `long:"role" default:"both" choice:"prefill" choice:"decode" choice:"both"`
+	Version  string `long:"version" description:"weights; none means any"`
+	Adapter  string `long:"adapter" description:"none means any"`
+	Clear    bool   `long:"clear" description:"say nothing of the engine any more"`
+}
+
+// Execute says what an engine should be.
+func (c *assignCommand) Execute([]string) error {
+	if c.Clear {
+		return c.apply(&operator.Change{Change: &operator.Change_DeleteAssignment{DeleteAssignment: c.Upstream}})
+	}
+	a := &operator.Assignment{Upstream: c.Upstream, Pool: c.Pool, Role: c.Role, Version: c.Version, Adapter: c.Adapter}
+	return c.apply(&operator.Change{Change: &operator.Change_PutAssignment{PutAssignment: a}})
+}
+
 type drainCommand struct{ ctlFlags }
 
 // Execute shuts the host that is asked down gracefully.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -22,6 +22,7 @@
 	_ "oleanderlever/core/lease"
 	_ "oleanderlever/core/member"
 	_ "oleanderlever/core/once"
+	_ "oleanderlever/core/order"
 	_ "oleanderlever/core/quota"
 	_ "oleanderlever/core/replica"
 	_ "oleanderlever/io/caller"
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -150,6 +150,7 @@
 	t.Run("orderOutcomeUnknown", func(t *testing.T) { orderOutcomeUnknown(t, s) })
 	t.Run("keyStaysHere", func(t *testing.T) { keyStaysHere(t, s) })
 	t.Run("engineDies", func(t *testing.T) { engineDies(t, s, decode, other) })
+	t.Run("orderedEngine", func(t *testing.T) { orderedEngine(t, s) })
 	t.Run("withdrawnKeyOnOpenConnection", func(t *testing.T) { withdrawnKeyOnOpenConnection(t, s) })
 }
 
@@ -299,6 +300,25 @@
 	require.Equal(t, want, st.Text)
 }
 
+// An engine that is not what an operator says it should be gets an order from the leader.
+func orderedEngine(t *testing.T, s *system) {
+	addr, err := daemon.FreeAddr()
+	require.NoError(t, err)
+	e, err := engine.Start(engine.Config{
+		ID: "spare-1", Pool: model, Role: core.RolePrefill, Listen: addr, Hosts: s.UpstreamAddrs(), Slots: 4, Pieces: 16,
+		TokenTime: 10 * time.Millisecond, Answer: answer, ChecksFencing: true,
+	})
+	require.NoError(t, err)
+	s.engines = append(s.engines, e)
+	s.change(&operator.Change{Change: &operator.Change_PutPolicy{PutPolicy: &operator.UpstreamPolicy{Pool: model, ChecksFencing: true}}})
+	want := &operator.Assignment{Upstream: "spare-1", Pool: model, Role: "decode", Version: "v2"}
+	s.change(&operator.Change{Change: &operator.Change_PutAssignment{PutAssignment: want}})
+	s.eventually(func() bool {
+		a := e.Announced()
+		return a.Role == core.RoleDecode && a.Version == "v2"
+	})
+}
+
 // "Keys are withdrawn from callers that are still connected."
 func withdrawnKeyOnOpenConnection(t *testing.T, s *system) {
 	conn, err := net.Dial("tcp", s.Settings[0].Listen.Callers.String())
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -31,6 +31,8 @@
 	TokenTime       time.Duration
 	// Answer is how many tokens an answer has where the caller wants no fewer.
 	Answer core.Tokens
+	// ChecksFencing engines refuse an order with a lower epoch than one that they have seen.
+	ChecksFencing bool
 }
 
 // Faults can be switched on while an engine runs.
@@ -71,15 +73,19 @@
 	prefills int64
 	// generated counts tokens, computed counts prompt tokens that were not in the cache.
 	generated int64
+	wasted    int64
 	computed  int64
+	// epoch is the highest one of an order so far.
+	epoch core.Epoch
 }
 
 // kv is a prefill's result.
 type kv struct {
-	attempt string
-	prompt  core.Tokens
-	pieces  int
-	expires *time.Timer
+	attempt  string
+	prompt   core.Tokens
+	computed core.Tokens
+	pieces   int
+	expires  *time.Timer
 }
 
 // prompt is what the stand-in reads of a caller's request.
@@ -210,23 +216,47 @@
 }
 
 // keep stores a prefill's result for a while; it is dropped if nobody fetches it.
-func (e *Engine) keep(handle, attempt string, p prompt) {
+func (e *Engine) keep(handle, attempt string, p prompt, computed core.Tokens) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	k := &kv{attempt: attempt, prompt: p.tokens(), pieces: core.Pieces(p.tokens())}
-	k.expires = time.AfterFunc(kvLife, func() { e.dropKV(handle) })
+	k := &kv{attempt: attempt, prompt: p.tokens(), computed: computed, pieces: core.Pieces(p.tokens())}
+	k.expires = time.AfterFunc(kvLife, func() { e.dropKV(handle, false) })
 	e.kvs[handle] = k
 	e.pieces += k.pieces
 }
 
-func (e *Engine) dropKV(handle string) {
+// dropKV frees a prefill's result; one that was not used was computed for nothing.
+func (e *Engine) dropKV(handle string, used bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if k := e.kvs[handle]; k != nil {
-		k.expires.Stop()
-		e.pieces -= k.pieces
-		delete(e.kvs, handle)
+	e.freeKV(handle, used)
+}
+
+func (e *Engine) freeKV(handle string, used bool) {
+	k := e.kvs[handle]
+	if k == nil {
+		return
 	}
+	k.expires.Stop()
+	e.pieces -= k.pieces
+	delete(e.kvs, handle)
+	if !used {
+		e.wasted += int64(k.computed)
+	}
+}
+
+// Stats counts what an engine has done since its start, in tokens.
+type Stats struct {
+	Computed  int64 `json:"computed"`
+	Wasted    int64 `json:"wasted"`
+	Generated int64 `json:"generated"`
+}
+
+// Stats returns what the engine has done.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Stats{Computed: e.computed, Wasted: e.wasted, Generated: e.generated}
 }
 
 // open starts a stream if a slot and the memory are free.
@@ -283,9 +313,7 @@
 	defer e.mu.Unlock()
 	for handle, k := range e.kvs {
 		if k.attempt == attempt {
-			k.expires.Stop()
-			e.pieces -= k.pieces
-			delete(e.kvs, handle)
+			e.freeKV(handle, false)
 		}
 	}
 	e.drop(e.streams[attempt])
--- a/io/engine/web.go
+++ b/io/engine/web.go
@@ -20,6 +20,9 @@
 // PathFaults takes Faults as JSON; it is not part of the protocol.
 const PathFaults = "/standin/v1/faults"
 
+// PathStats answers with Stats as JSON; it is not part of the protocol either.
+const PathStats = "/standin/v1/stats"
+
 const maxBodyBytes = 64 << 20
 
 // webServer is the HTTP side of an engine.
@@ -30,6 +33,7 @@
 	announcer *upstream.Announcer
 	client    *fasthttp.Client
 	handles   atomic.Uint64
+	addr      netip.AddrPort
 }
 
 // Start runs an engine until Stop.
@@ -40,12 +44,12 @@
 	}
 	addr := l.Addr().(*net.TCPAddr).AddrPort()
 	e := &Engine{config: c, kvs: map[string]*kv{}, streams: map[string]*stream{}, cache: map[uint64]time.Time{}}
-	w := &webServer{engine: e, listener: l, client: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
+	w := &webServer{engine: e, listener: l, addr: addr, client: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
 	w.http = &fasthttp.Server{Handler: w.handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true}
 	w.announcer = &upstream.Announcer{
 		Announcement: core.Announcement{
 			ID: c.ID, Pool: c.Pool, Role: c.Role, Addr: addr, DataCentre: c.DataCentre,
-			Incarnation: uint64(time.Now().UnixMilli()), Slots: c.Slots, Pieces: c.Pieces,
+			Incarnation: uint64(time.Now().UnixMilli()), Slots: c.Slots, Pieces: c.Pieces, ChecksFencing: c.ChecksFencing,
 		},
 		Hosts: c.Hosts, Secret: c.Secret, Report: e.report,
 	}
@@ -56,7 +60,10 @@
 }
 
 // Addr returns where the engine listens.
-func (e *Engine) Addr() netip.AddrPort { return e.server.announcer.Announcement.Addr }
+func (e *Engine) Addr() netip.AddrPort { return e.server.addr }
+
+// Announced returns what the engine announces now.
+func (e *Engine) Announced() core.Announcement { return e.server.announcer.Current() }
 
 // Stop says goodbye and ends the engine.
 func (e *Engine) Stop() {
@@ -90,6 +97,10 @@
 		w.cancel(ctx)
 	case strings.HasPrefix(path, upstream.PathKV):
 		w.giveKV(ctx, strings.TrimPrefix(path, upstream.PathKV))
+	case path == upstream.PathOrder:
+		w.order(ctx)
+	case path == PathStats:
+		answer(ctx, w.engine.Stats())
 	case path == PathFaults:
 		w.setFaults(ctx)
 	default:
@@ -147,7 +158,7 @@
 	cached, ready := e.prefillTime(p, time.Now())
 	time.Sleep(time.Until(ready))
 	handle := strconv.FormatUint(w.handles.Add(1), 36)
-	e.keep(handle, q.Attempt, p)
+	e.keep(handle, q.Attempt, p, p.tokens()-cached)
 	answer(ctx, upstream.PrefillReply{Attempt: q.Attempt, Handle: handle, Prompt: p.tokens(), Cached: cached})
 }
 
@@ -160,14 +171,14 @@
 		refuse(ctx, fasthttp.StatusGone, "gone", "the prefill's result is gone", true)
 		return
 	}
-	w.engine.dropKV(handle)
+	w.engine.dropKV(handle, true)
 	answer(ctx, k.prompt)
 }
 
 // fetch gets the KV cache from the engine that made it.
 func (w *webServer) fetch(q *upstream.DecodeRequest) error {
-	if q.KVFrom == w.announcer.Announcement.Addr {
-		w.engine.dropKV(q.KVHandle)
+	if q.KVFrom == w.addr {
+		w.engine.dropKV(q.KVHandle, true)
 		return nil
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -282,6 +293,28 @@
 	return b.Flush() == nil
 }
 
+// order makes the engine what it is told to be; streams under way go on.
+func (w *webServer) order(ctx *fasthttp.RequestCtx) {
+	var q upstream.OrderRequest
+	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "badRequest", err.Error(), true)
+		return
+	}
+	e := w.engine
+	e.mu.Lock()
+	old := e.config.ChecksFencing && q.Epoch < e.epoch
+	e.epoch = max(e.epoch, q.Epoch)
+	e.mu.Unlock()
+	if old {
+		refuse(ctx, fasthttp.StatusConflict, "oldEpoch", "the order is of an earlier leader", true)
+		return
+	}
+	w.announcer.Change(func(a *core.Announcement) {
+		a.Pool, a.Role, a.Version, a.Adapter = q.Pool, q.Role, q.Version, q.Adapter
+	})
+	answer(ctx, q)
+}
+
 func (w *webServer) cancel(ctx *fasthttp.RequestCtx) {
 	var q upstream.CancelRequest
 	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -40,6 +40,7 @@
 	typeUpstreamNews
 	typeHolding
 	typeHoldingUnknown
+	typeOrderWanted
 	typeEnd
 )
 
@@ -114,6 +115,8 @@
 		return typeHolding
 	case core.HoldingUnknown:
 		return typeHoldingUnknown
+	case core.OrderWanted:
+		return typeOrderWanted
 	}
 	return 0
 }
@@ -151,6 +154,7 @@
 	typeUpstreamNews:    decode[core.UpstreamNews],
 	typeHolding:         decode[core.Holding],
 	typeHoldingUnknown:  decode[core.HoldingUnknown],
+	typeOrderWanted:     decode[core.OrderWanted],
 }
 
 var (
--- a/io/operator/convert.go
+++ b/io/operator/convert.go
@@ -35,6 +35,10 @@
 		return core.Change{Kind: core.ChangePutModel, Model: toModel(v.PutModel)}, nil
 	case *Change_DeleteModel:
 		return core.Change{Kind: core.ChangeDeleteModel, Model: core.Model{ID: core.PoolID(v.DeleteModel)}}, nil
+	case *Change_PutAssignment:
+		return core.Change{Kind: core.ChangePutAssignment, Assignment: toAssignment(v.PutAssignment)}, nil
+	case *Change_DeleteAssignment:
+		return core.Change{Kind: core.ChangeDeleteAssignment, Assignment: core.Assignment{Upstream: core.UpstreamID(v.DeleteAssignment)}}, nil
 	case *Change_PutPolicy:
 		return core.Change{Kind: core.ChangePutPolicy, Policy: toPolicy(v.PutPolicy)}, nil
 	}
@@ -77,6 +81,13 @@
 	return out
 }
 
+func toAssignment(a *Assignment) core.Assignment {
+	return core.Assignment{
+		Upstream: core.UpstreamID(a.GetUpstream()), Pool: core.PoolID(a.GetPool()), Role: core.Role(a.GetRole()),
+		Version: a.GetVersion(), Adapter: a.GetAdapter(),
+	}
+}
+
 func toAccounts(ids []string) []core.AccountID {
 	var out []core.AccountID
 	for _, id := range ids {
@@ -138,6 +149,11 @@
 	for _, m := range t.Models {
 		r.Models = append(r.Models, &Model{Id: string(m.ID), MaxOutput: int64(m.MaxOutput), Accounts: fromAccounts(m.Accounts)})
 	}
+	for _, a := range t.Assignments {
+		r.Assignments = append(r.Assignments, &Assignment{
+			Upstream: string(a.Upstream), Pool: string(a.Pool), Role: string(a.Role), Version: a.Version, Adapter: a.Adapter,
+		})
+	}
 	for _, p := range t.Policies {
 		out := &UpstreamPolicy{Pool: string(p.Pool), ChecksSender: p.ChecksSender, ChecksFencing: p.ChecksFencing}
 		for _, id := range p.Drained {
--- a/io/upstream/announcer.go
+++ b/io/upstream/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 	// Report returns the load and the cache events since the last report, or false where there is none to send.
 	Report func() (ReportBody, bool)
 
+	mu     sync.Mutex
 	client *Client
 	turn   int
 	seq    uint64
@@ -44,8 +46,8 @@
 func (a *Announcer) Stop() {
 	close(a.stop)
 	<-a.done
-	a.Announcement.Leaving = true
-	a.tell(PathAnnounce, &a.Announcement)
+	a.Change(func(a *core.Announcement) { a.Leaving = true })
+	a.tell(PathAnnounce, a.Current())
 }
 
 func (a *Announcer) run() {
@@ -62,14 +64,29 @@
 	}
 }
 
+// Change changes what is announced from now on.
+func (a *Announcer) Change(change func(a *core.Announcement)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change(&a.Announcement)
+}
+
+// Current returns what is announced now.
+func (a *Announcer) Current() core.Announcement {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Announcement
+}
+
 func (a *Announcer) speak() {
-	a.tell(PathAnnounce, &a.Announcement)
+	now := a.Current()
+	a.tell(PathAnnounce, now)
 	if a.Report == nil {
 		return
 	}
 	if r, ok := a.Report(); ok {
 		a.seq++
-		r.ID, r.Pool, r.Incarnation, r.Seq = a.Announcement.ID, a.Announcement.Pool, a.Announcement.Incarnation, a.seq
+		r.ID, r.Pool, r.Incarnation, r.Seq = now.ID, now.Pool, now.Incarnation, a.seq
 		a.tell(PathReport, &r)
 	}
 }
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -86,6 +86,23 @@
 	return err == nil && resp.StatusCode() == fasthttp.StatusOK
 }
 
+// Order sends an order to an engine and waits until it is carried out.
+func (c *Client) Order(addr netip.AddrPort, o core.Order, timeout time.Duration) *core.Failure {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.post(req, addr, PathOrder, &OrderRequest{Epoch: o.Epoch, Assignment: o.Assignment}); err != nil {
+		return core.FailureOf(err)
+	}
+	if err := c.host(clientKey{addr: addr}).DoTimeout(req, resp, timeout); err != nil {
+		return failed(err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return refused(resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
 // DecodeEnd is how a decode's stream ended.
 type DecodeEnd struct {
 	Finish string
--- a/io/upstream/peer.go
+++ b/io/upstream/peer.go
@@ -44,12 +44,15 @@
 		Handler: s.handle, MaxRequestBodySize: maxNewsBytes, ReadTimeout: newsTimeout, IdleTimeout: time.Minute,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
-	c := &canceller{client: NewClient(secret), loop: h.Loop, free: make(chan struct{}, maxCancels)}
+	c := &orders{client: NewClient(secret), loop: h.Loop, free: make(chan struct{}, maxCancels)}
 	return control.Instance{
 		Start: func() { go func() { _ = web.Serve(l) }() },
 		Do: func(a core.Action) {
-			if a, ok := a.(core.CancelAttempt); ok {
+			switch a := a.(type) {
+			case core.CancelAttempt:
 				c.start(a)
+			case core.SendOrder:
+				go c.send(a)
 			}
 		},
 		Close: func() {
@@ -59,14 +62,14 @@
 	}, nil
 }
 
-// canceller carries out cancels.
-type canceller struct {
+// orders carries out cancels and orders.
+type orders struct {
 	client *Client
 	loop   *control.Loop
 	free   chan struct{}
 }
 
-func (c *canceller) start(a core.CancelAttempt) {
+func (c *orders) start(a core.CancelAttempt) {
 	select {
 	case c.free <- struct{}{}:
 	default:
@@ -79,6 +82,15 @@
 	}()
 }
 
+// send sends an order, unless the time in which the leader may give it has passed while the goroutine waited.
+func (c *orders) send(a core.SendOrder) {
+	f := core.Fail(core.KindDeadline, "the order came too late")
+	if time.Now().Before(a.Until) {
+		f = c.client.Order(a.Upstream, a.Order, a.Timeout)
+	}
+	c.loop.Post(core.OrderEnded{Upstream: a.Order.Assignment.Upstream, Epoch: a.Order.Epoch, Failure: f})
+}
+
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
 	if s.secret != nil && subtle.ConstantTimeCompare(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), s.secret) != 1 {
 		ctx.Error("wrong or missing credentials", fasthttp.StatusUnauthorized)
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -17,6 +17,7 @@
 	PathDecode   = "/engine/v1/decode"
 	PathCancel   = "/engine/v1/cancel"
 	PathKV       = "/engine/v1/kv/"
+	PathOrder    = "/engine/v1/order"
 )
 
 // HeaderAttempt carries the attempt ID, which upstreams echo in their answer.
@@ -74,6 +75,12 @@
 	Attempt string `json:"attempt"`
 }
 
+// OrderRequest tells an engine what to become. An engine that checks fencing refuses an epoch below the highest seen.
+type OrderRequest struct {
+	Epoch core.Epoch `json:"epoch"`
+	core.Assignment
+}
+
 // Refusal is the body of an upstream's error answer.
 type Refusal struct {
 	Kind    string `json:"kind"`
