--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -267,6 +267,9 @@
 	}
 	h.wake = next
 	r.schedule(h, max(0, h.until(r.Now, next)), func() {
+		if !h.wake.Equal(next) {
+			return
+		}
 		h.wake = time.Time{}
 		if core.Due(h.Kernel.NextDeadline(), h.clock(r.Now)) {
 			r.step(h, core.Tick{})
