core/dispatch: requests that can still meet the target for the first token go first

Cause: first come first served within an account lets every request wait its turn until it is late. Now a pool has two fair queues, fresh and late; the estimate of what a placement still needs is learned from prefill and first-token times, and work beyond 60 ms of a prefill engine's backlog waits where the order can change. Late requests get what is left and one placement in 20.

What is left at 150 % and in the flood is the wait for tokens, first come first served again.

--- a/core/check.go
+++ b/core/check.go
@@ -105,7 +105,7 @@
 	if m.Prompt < 0 || m.Prompt > maxCount || m.Output < 0 || m.Output > maxCount || len(m.Blocks) > maxList {
 		return Fail(KindBadRequest, "place: lengths out of range")
 	}
-	if m.Left < 0 || m.Left > maxSpan {
+	if m.Left < 0 || m.Left > maxSpan || m.Waited < 0 || m.Waited > maxSpan {
 		return Fail(KindBadRequest, "place: time left out of range")
 	}
 	return CheckName("place.pool", string(m.Pool))
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -153,36 +153,51 @@
 		t.Send(from, h.placed)
 		return
 	}
-	if pl.queue.has(m.Attempt) {
+	if pl.fresh.has(m.Attempt) || pl.late.has(m.Attempt) {
 		return
 	}
-	if pl.queue.size() >= p.limits.Requests {
+	if pl.waiting() >= p.limits.Requests {
 		t.Send(from, core.PlaceRefused{Attempt: m.Attempt, Failure: *core.Fail(core.KindOverloaded, "the queue of %s is full", m.Pool)})
 		return
 	}
-	pl.queue.push(&waiting{ask: m, from: from, arrived: t.Now, deadline: t.Now.Add(m.Left)})
+	pl.fresh.push(&waiting{ask: m, from: from, arrived: t.Now.Add(-m.Waited), queued: t.Now, deadline: t.Now.Add(m.Left)})
 	p.serve(t, pl)
 }
 
-// serve places attempts in the order of the fair queue until one finds no place.
+// serve places attempts until none finds room.
 func (p *part) serve(t *core.Turn, pl *pool) {
 	for p.placeNext(t, pl) {
 	}
 }
 
-// maxPassed is how many attempts may be passed over because they need more memory than is free anywhere.
-const maxPassed = 8
-
-// passedFor is how long an attempt may be passed over; after that memory is left to gather for it.
-const passedFor = time.Second
+const (
+	// maxPassed is how many attempts may be passed over because they need more memory than is free anywhere.
+	maxPassed = 8
+	// passedFor is how long an attempt may be passed over; after that memory is left to gather for it.
+	passedFor = time.Second
+	// lateEvery is how many placements go by before a late attempt is placed although fresh ones wait.
+	lateEvery = 20
+)
 
-// placeNext places the first attempt in the order of the queue that finds room.
+// placeNext places one attempt: of those that can still meet the target for the first token the next in fairness, and
+// late ones in what is left. Under overload the capacity so goes to answers that count. Late attempts keep one
+// placement in lateEvery, so none starves; refusing them was rejected, since a late answer is worth more than none.
 func (p *part) placeNext(t *core.Turn, pl *pool) bool {
+	pl.demote(t.Now)
+	first, second := &pl.fresh, &pl.late
+	if pl.sinceLate >= lateEvery && pl.late.size() > 0 {
+		first, second = second, first
+	}
+	return p.placeFrom(t, pl, first) || p.placeFrom(t, pl, second)
+}
+
+// placeFrom places the first attempt of a queue that finds room.
+func (p *part) placeFrom(t *core.Turn, pl *pool, q *fairQueue) bool {
 	var next *waiting
 	var h *held
 	var c choice
 	passed := 0
-	pl.queue.heads(func(w *waiting) bool {
+	q.heads(func(w *waiting) bool {
 		var v verdict
 		h, c, v = pl.place(w, t.Now, p.epoch)
 		if v == verdictPlaced {
@@ -190,14 +205,18 @@
 			return false
 		}
 		passed++
-		return v == verdictNoMemory && passed < maxPassed && t.Now.Sub(w.arrived) < passedFor
+		return v == verdictNoMemory && passed < maxPassed && t.Now.Sub(w.queued) < passedFor
 	})
 	if next == nil {
 		return false
 	}
-	pl.queue.pop(next)
+	q.pop(next)
+	pl.sinceLate++
+	if q == &pl.late {
+		pl.sinceLate = 0
+	}
 	h.boot = p.bootOf(next.from)
-	t.Decide(decision(h, c, t.Now.Sub(next.arrived)))
+	t.Decide(decision(h, c, t.Now.Sub(next.queued)))
 	t.Send(next.from, h.placed)
 	return true
 }
@@ -246,7 +265,8 @@
 	}
 	h := pl.held[m.Attempt]
 	if h == nil {
-		pl.queue.remove(m.Attempt)
+		pl.fresh.remove(m.Attempt)
+		pl.late.remove(m.Attempt)
 		return
 	}
 	if u := pl.upstreams[m.Failed]; u != nil {
@@ -255,10 +275,15 @@
 		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
 	}
 	if m.PrefillOnly {
+		pl.pace.prefilled(t.Now.Sub(h.since), h.ahead)
 		pl.releasePrefill(h)
 		p.succeeded(pl, h.placed.Prefill)
+		p.serve(t, pl)
 		return
 	}
+	if m.First > 0 {
+		pl.pace.started(m.First)
+	}
 	if m.Failed == "" && !m.Cancel {
 		p.succeeded(pl, h.placed.Decode)
 	}
@@ -396,7 +421,8 @@
 		pl.empty = t.Now
 	}
 	missing := t.Now.Sub(pl.empty) >= noUpstreamAfter
-	for _, w := range pl.queue.late(func(w *waiting) bool { return missing || core.Due(w.deadline, t.Now) }) {
+	over := func(w *waiting) bool { return missing || core.Due(w.deadline, t.Now) }
+	for _, w := range append(pl.fresh.takeOut(over), pl.late.takeOut(over)...) {
 		f := core.Fail(core.KindOverloaded, "no upstream of %s was free in time", pl.id)
 		if missing {
 			f = core.Fail(core.KindNoUpstream, "no upstream of %s is there", pl.id)
@@ -429,7 +455,7 @@
 func (p *part) gauges(set func(string, int64)) {
 	var queued, heldCount, upstreams int
 	for _, pl := range p.pools {
-		queued += pl.queue.size()
+		queued += pl.waiting()
 		heldCount += len(pl.held)
 		upstreams += len(pl.upstreams)
 	}
--- /dev/null
+++ b/core/dispatch/pace.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+const (
+	// firstTarget is the users' target for the first token; firstSlack of it is kept for what the estimate misses.
+	firstTarget = 760 * time.Millisecond
+	firstSlack  = 80 * time.Millisecond
+	// maxBacklog bounds the work that waits at a prefill engine. It is enough to keep the engine busy over the way there
+	// and back; all beyond it waits here, where the order can still change.
+	maxBacklog = 60 * time.Millisecond
+	// paceShare is the weight of the newest sample in a moving average.
+	paceShare = 0.05
+)
+
+// pace is what a pool's engines were seen to take.
+type pace struct {
+	// perToken is the time of one prompt token at a prefill engine, start the time from a prefill's end to the first token.
+	perToken time.Duration
+	start    time.Duration
+}
+
+func average(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(paceShare*float64(sample-old))
+}
+
+// prefilled takes the time of one prefill and the tokens that the engine computed in it.
+func (p *pace) prefilled(took time.Duration, tokens core.Tokens) {
+	if tokens > 0 {
+		p.perToken = average(p.perToken, took/time.Duration(tokens))
+	}
+}
+
+// started takes the time from a prefill's end to its first token.
+func (p *pace) started(took time.Duration) { p.start = average(p.start, took) }
+
+// backlog estimates how long an engine takes for the tokens that it has.
+func (p *pace) backlog(tokens core.Tokens) time.Duration { return time.Duration(tokens) * p.perToken }
+
+// fresh reports whether an attempt can still meet the target for the first token if it is placed at once.
+func (p *pool) isFresh(w *waiting, now time.Time) bool {
+	if w.ask.Urgent || w.ask.Service {
+		return true
+	}
+	tokens := w.ask.Prompt
+	if len(p.prefilling.items) > 0 {
+		u := p.prefilling.items[0]
+		tokens += u.prefill - u.cached(w.ask.Blocks)
+	}
+	needs := p.pace.backlog(tokens) + p.pace.start
+	return now.Sub(w.arrived)+needs <= firstTarget-firstSlack
+}
+
+// demote moves attempts that can't meet the target any more to the late queue. Only the first of each account needs a
+// look: those behind it came later.
+func (p *pool) demote(now time.Time) {
+	for {
+		var stale *waiting
+		p.fresh.heads(func(w *waiting) bool {
+			if !p.isFresh(w, now) {
+				stale = w
+			}
+			return stale == nil
+		})
+		if stale == nil {
+			return
+		}
+		p.fresh.drop(stale)
+		p.late.push(stale)
+	}
+}
+
+func (p *pool) waiting() int { return p.fresh.size() + p.late.size() }
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -16,6 +16,8 @@
 	// pieces are held at the decode engine; prefill is the tokens held at the prefill engine until it is done.
 	pieces  int
 	prefill core.Tokens
+	// ahead is what the prefill engine had to compute until this prompt's end, when it was placed.
+	ahead core.Tokens
 	// since is when the ledger took it, missed how many lists of its entry host in a row did not name it.
 	since  time.Time
 	missed int
@@ -25,7 +27,12 @@
 type pool struct {
 	id        core.PoolID
 	upstreams map[core.UpstreamID]*upstream
-	queue     fairQueue
+	// fresh attempts can still meet the target for the first token, late ones can't.
+	fresh fairQueue
+	late  fairQueue
+	// sinceLate counts placements since the last late one.
+	sinceLate int
+	pace      pace
 	held      map[core.AttemptID]*held
 	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
 	answering  orderedHeap[*upstream]
@@ -38,7 +45,7 @@
 
 func newPool(id core.PoolID, now time.Time) *pool {
 	return &pool{
-		id: id, upstreams: map[core.UpstreamID]*upstream{}, queue: newFairQueue(), held: map[core.AttemptID]*held{}, empty: now,
+		id: id, upstreams: map[core.UpstreamID]*upstream{}, fresh: newFairQueue(), late: newFairQueue(), held: map[core.AttemptID]*held{}, empty: now,
 		answering:  orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.answeringAt }, less: lessBusy},
 		prefilling: orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.prefillingAt }, less: shorterPrefill},
 		prefixes:   map[uint64][]core.UpstreamID{},
@@ -149,11 +156,12 @@
 		return h, answer, verdictPlaced
 	}
 	prefill := p.choosePrefilling(w)
-	if prefill.best == nil {
+	if prefill.best == nil || p.pace.backlog(prefill.best.prefill) > maxBacklog {
 		return nil, prefill, verdictFull
 	}
 	h.placed.Prefill, h.placed.PrefillAddr = prefill.best.ID, prefill.best.Addr
 	h.prefill = max(1, w.ask.Prompt-prefill.best.cached(w.ask.Blocks))
+	h.ahead = prefill.best.prefill + h.prefill
 	p.reserve(h, now)
 	p.remember(prefill.best, w.ask.Blocks)
 	return h, prefill, verdictPlaced
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -9,10 +9,12 @@
 
 // waiting is an attempt in the queue.
 type waiting struct {
-	ask      core.PlaceAsk
-	from     core.HostID
-	start    float64
+	ask   core.PlaceAsk
+	from  core.HostID
+	start float64
+	// arrived is when the caller's request came, queued when the attempt came here.
 	arrived  time.Time
+	queued   time.Time
 	deadline time.Time
 }
 
@@ -136,8 +138,8 @@
 	}
 }
 
-// late takes out the attempts that pass a test, in order of their arrival.
-func (q *fairQueue) late(test func(*waiting) bool) []*waiting {
+// takeOut takes out the attempts that pass a test, in order of their arrival.
+func (q *fairQueue) takeOut(test func(*waiting) bool) []*waiting {
 	var out []*waiting
 	for _, l := range q.lanes {
 		for _, w := range l.list {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -66,6 +66,8 @@
 		p.onceKept(t, e.Request)
 	case core.PrefillEnded:
 		p.prefillEnded(t, e)
+	case core.FirstToken:
+		p.firstToken(t, e.Attempt)
 	case core.DecodeEnded:
 		p.decodeEnded(t, e)
 	case core.CallEnded:
@@ -123,7 +125,7 @@
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
 		return
 	}
-	rq := &request{Request: r, admitted: a}
+	rq := &request{Request: r, admitted: a, arrived: t.Now}
 	rq.once = onceKey(&a, &r)
 	p.requests[r.ID] = rq
 	if a.account.ID == "" || a.cost == 0 {
@@ -188,7 +190,8 @@
 func (p *part) sendAsk(t *core.Turn, r *request) {
 	r.resend = t.Now.Add(placeResend)
 	r.owner = p.ownerOf(r.pool)
-	r.ask.Left = r.Deadline.Sub(t.Now)
+	r.ask.Left = max(0, r.Deadline.Sub(t.Now))
+	r.ask.Waited = t.Now.Sub(r.arrived)
 	t.Send(r.owner.host, r.ask)
 }
 
@@ -243,12 +246,19 @@
 	}
 	p.sendDone(t, r, core.PlaceDone{PrefillOnly: true})
 	r.stage = stageDecode
+	r.prefilled = t.Now
 	t.Do(core.RunDecode{
 		Attempt: e.Attempt, Upstream: r.placed.DecodeAddr, Epoch: r.placed.Epoch, KV: e.KV,
 		Max: r.output - r.relayed, Silence: tokenSilence,
 	})
 }
 
+func (p *part) firstToken(t *core.Turn, a core.AttemptID) {
+	if r := p.requests[a.Request]; r != nil && r.attemptID() == a && r.stage == stageDecode {
+		r.first = t.Now.Sub(r.prefilled)
+	}
+}
+
 func (p *part) decodeEnded(t *core.Turn, e core.DecodeEnded) {
 	r := p.requests[e.Attempt.Request]
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stageDecode {
@@ -256,7 +266,7 @@
 	}
 	r.relayed = e.Relayed
 	if e.Failure == nil {
-		p.sendDone(t, r, core.PlaceDone{Output: r.relayed})
+		p.sendDone(t, r, core.PlaceDone{Output: r.relayed, First: r.first})
 		p.finish(t, r)
 		return
 	}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -44,8 +44,12 @@
 	relayed core.Tokens
 	prompt  core.Tokens
 	resumes int
-	avoid   []core.UpstreamID
-	gone    bool
+	arrived time.Time
+	// prefilled is when the attempt's prefill ended, first how long its first token took from then on.
+	prefilled time.Time
+	first     time.Duration
+	avoid     []core.UpstreamID
+	gone      bool
 	// ran is true once a byte of an attempt may have reached an upstream.
 	ran bool
 }
@@ -67,10 +71,11 @@
 		Attempt: core.AttemptID{Request: r.ID, Number: r.ask.Attempt.Number + 1},
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		Prompt: r.Prompt + r.relayed, Output: r.output - r.relayed, Blocks: r.Blocks,
-		Service: r.service, Avoid: r.avoid, Left: r.Deadline.Sub(now),
+		Service: r.service, Avoid: r.avoid, Left: r.Deadline.Sub(now), Urgent: r.relayed > 0,
 	}
 	r.placed = core.Placed{}
 	r.resumes = 0
+	r.first = 0
 }
 
 // mayRetry reports whether a failed attempt may be followed by another one.
--- a/core/message.go
+++ b/core/message.go
@@ -216,8 +216,11 @@
 	Service bool `cbor:"service"`
 	// Avoid lists the upstreams at which earlier attempts failed.
 	Avoid []UpstreamID `cbor:"avoid"`
-	// Left is how long the caller still waits.
-	Left time.Duration `cbor:"left"`
+	// Left is how long the caller still waits, Waited how long it has waited already.
+	Left   time.Duration `cbor:"left"`
+	Waited time.Duration `cbor:"waited"`
+	// Urgent attempts go on with an answer of which the caller has a part.
+	Urgent bool `cbor:"urgent"`
 }
 
 // Placed tells where an attempt may run.
@@ -250,6 +253,8 @@
 	Failed UpstreamID `cbor:"failed"`
 	// Output is what the attempt generated.
 	Output Tokens `cbor:"output"`
+	// First is the time from the prefill's end to the first token, or zero where there was none.
+	First time.Duration `cbor:"first"`
 }
 
 // PlaceDoneReply acknowledges a PlaceDone.
