core/quota: a request of an account without tokens is refused after 300 ms

Cause: under 150 % load and in the flood every request of an account over its rate waited up to 10 s for tokens, so all of them were late. Ruled out: the dispatcher, whose queue was short at the time. A request whose account was denied now waits 300 ms; without a word from the owner it still waits 10 s, so a change of the owner refuses nobody. TestNoRefusalInsideTheRate stays green.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -14,6 +14,9 @@
 	askEvery = 200 * time.Millisecond
 	// Wait is how long a request waits for a grant before it is refused.
 	Wait = 10 * time.Second
+	// DeniedWait is how long a request waits whose account has no tokens left. Longer waits would make each request of
+	// an account that is over its rate late, instead of some of them refused.
+	DeniedWait = 300 * time.Millisecond
 	// idleAfter is how long an amount at hand is kept without use.
 	idleAfter = time.Second
 	// maxWaiting bounds the requests of one account that wait on one host.
@@ -67,6 +70,14 @@
 	next     time.Time
 }
 
+// deny notes that the account has no tokens left.
+func (w *waiter) deny(now time.Time) {
+	w.denied = true
+	if till := now.Add(DeniedWait); till.Before(w.till) {
+		w.till = till
+	}
+}
+
 func (h *holder) wanted(t *core.Turn, e core.QuotaWanted) {
 	limit, ok := h.tables.Account(e.Account)
 	if !ok {
@@ -281,7 +292,7 @@
 		return
 	}
 	for i := range a.waiters {
-		a.waiters[i].denied = true
+		a.waiters[i].deny(t.Now)
 	}
 	a.ready = t.Now.Add(min(l.Ready, askEvery))
 	if l.Ready < askEvery {
