--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -176,7 +176,7 @@
 	// passedFor is how long an attempt may be passed over; after that memory is left to gather for it.
 	passedFor = time.Second
 	// lateEvery is how many placements go by before a late attempt is placed although fresh ones wait.
-	lateEvery = 20
+	lateEvery = 40
 )
 
 // placeNext places one attempt: of those that can still meet the target for the first token the next in fairness, and
@@ -275,8 +275,8 @@
 		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
 	}
 	if m.PrefillOnly {
-		pl.pace.prefilled(t.Now.Sub(h.since), h.ahead)
-		pl.releasePrefill(h)
+		pl.prefilled(h, t.Now)
+		pl.releasePrefill(h, t.Now)
 		p.succeeded(pl, h.placed.Prefill)
 		p.serve(t, pl)
 		return
@@ -335,7 +335,7 @@
 
 // end frees what the ledger holds for an attempt and, where an engine may hold something too, cancels it there.
 func (p *part) end(t *core.Turn, pl *pool, h *held, withCancel bool) {
-	pl.release(h)
+	pl.release(h, t.Now)
 	if !withCancel || h.ask.Service {
 		return
 	}
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -31,7 +31,7 @@
 	return old + time.Duration(paceShare*float64(sample-old))
 }
 
-// prefilled takes the time of one prefill and the tokens that the engine computed in it.
+// prefilled takes the time that an engine had for one prompt and the tokens that it computed in it.
 func (p *pace) prefilled(took time.Duration, tokens core.Tokens) {
 	if tokens > 0 {
 		p.perToken = average(p.perToken, took/time.Duration(tokens))
@@ -49,12 +49,14 @@
 	if w.ask.Urgent || w.ask.Service {
 		return true
 	}
+	needs := p.pace.start
 	tokens := w.ask.Prompt
 	if len(p.prefilling.items) > 0 {
 		u := p.prefilling.items[0]
-		tokens += u.prefill - u.cached(w.ask.Blocks)
+		tokens -= u.cached(w.ask.Blocks)
+		needs += max(0, u.busy.Sub(now))
 	}
-	needs := p.pace.backlog(tokens) + p.pace.start
+	needs += p.pace.backlog(tokens)
 	return now.Sub(w.arrived)+needs <= firstTarget-firstSlack
 }
 
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -16,8 +16,6 @@
 	// pieces are held at the decode engine; prefill is the tokens held at the prefill engine until it is done.
 	pieces  int
 	prefill core.Tokens
-	// ahead is what the prefill engine had to compute until this prompt's end, when it was placed.
-	ahead core.Tokens
 	// since is when the ledger took it, missed how many lists of its entry host in a row did not name it.
 	since  time.Time
 	missed int
@@ -156,12 +154,11 @@
 		return h, answer, verdictPlaced
 	}
 	prefill := p.choosePrefilling(w)
-	if prefill.best == nil || p.pace.backlog(prefill.best.prefill) > maxBacklog {
+	if prefill.best == nil || prefill.best.busy.Sub(now) > maxBacklog {
 		return nil, prefill, verdictFull
 	}
 	h.placed.Prefill, h.placed.PrefillAddr = prefill.best.ID, prefill.best.Addr
 	h.prefill = max(1, w.ask.Prompt-prefill.best.cached(w.ask.Blocks))
-	h.ahead = prefill.best.prefill + h.prefill
 	p.reserve(h, now)
 	p.remember(prefill.best, w.ask.Blocks)
 	return h, prefill, verdictPlaced
@@ -259,20 +256,39 @@
 	}
 	if f := p.upstreams[h.placed.Prefill]; f != nil {
 		f.prefill += h.prefill
+		f.busy = later(f.busy, now).Add(p.pace.backlog(h.prefill))
 		p.moved(f)
 	}
 }
 
-func (p *pool) releasePrefill(h *held) {
-	if f := p.upstreams[h.placed.Prefill]; f != nil {
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (p *pool) releasePrefill(h *held, now time.Time) {
+	if f := p.upstreams[h.placed.Prefill]; f != nil && h.prefill > 0 {
 		f.prefill -= h.prefill
+		f.busy = now.Add(p.pace.backlog(f.prefill))
 		p.moved(f)
 	}
 	h.prefill = 0
 }
 
-func (p *pool) release(h *held) {
-	p.releasePrefill(h)
+// prefilled learns from the end of a prefill how long the engine takes for a token.
+func (p *pool) prefilled(h *held, now time.Time) {
+	u := p.upstreams[h.placed.Prefill]
+	if u == nil || h.prefill == 0 {
+		return
+	}
+	p.pace.prefilled(now.Sub(later(u.lastEnd, h.since)), h.prefill)
+	u.lastEnd = now
+}
+
+func (p *pool) release(h *held, now time.Time) {
+	p.releasePrefill(h, now)
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots--
 		d.pieces -= h.pieces
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -32,6 +32,10 @@
 	slots   int
 	pieces  int
 	prefill core.Tokens
+	// busy is when the prefills under way should be done.
+	busy time.Time
+	// lastEnd is when the latest prefill was done.
+	lastEnd time.Time
 	// strangers are attempts in the last report that the ledger does not know, with when each was first seen.
 	strangers map[core.AttemptID]time.Time
 	cache     map[uint64]uint64
--- a/core/harness/fakes.go
+++ b/core/harness/fakes.go
@@ -13,6 +13,8 @@
 	// Prompt and Answer are the true lengths; the request carries an estimate of the first.
 	Prompt core.Tokens
 	Answer core.Tokens
+	// Shared is how much of the prompt is the beginning of other prompts too.
+	Shared core.Tokens
 	// Content is the body of a call to a plain service.
 	Content string
 }
--- a/core/replay/run.go
+++ b/core/replay/run.go
@@ -143,7 +143,7 @@
 
 func (r *runner) model(l *Line) {
 	q := core.Request{Model: modelPool, Prompt: l.Prompt, MaxOutput: l.Max, Blocks: blocks(l, len(r.fakes.Order))}
-	x := r.submit(l, q, harness.Spec{Prompt: l.Prompt, Answer: l.Answer})
+	x := r.submit(l, q, harness.Spec{Prompt: l.Prompt, Answer: l.Answer, Shared: l.Shared})
 	if l.Patience > 0 {
 		r.After(l.Patience, func() { r.fakes.HangUp(x) })
 	}
