--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -63,8 +63,9 @@
 		l = &lane{account: id, at: -1}
 		q.lanes[id] = l
 	}
-	w.start = max(q.virtual, l.finish)
-	l.finish = w.start + cost(&w.ask)/float64(max(1, w.ask.Weight))
+	weight := float64(max(1, w.ask.Weight))
+	w.start = max(q.virtual-idleCredit/weight, l.finish)
+	l.finish = w.start + cost(&w.ask)/weight
 	l.list = append(l.list, w)
 	q.where[w.ask.Attempt] = l
 	if len(l.list) == 1 {
@@ -72,6 +73,10 @@
 	}
 }
 
+// idleCredit is how many tokens an account that used less than its share may be ahead of the others later. Without it
+// two requests of a small account in a row cost it the target, although it has used nothing for seconds.
+const idleCredit = 20_000.0
+
 // cost is what an attempt takes of a pool, in tokens.
 func cost(a *core.PlaceAsk) float64 { return float64(max(1, a.Prompt+a.Output)) }
 
@@ -105,7 +110,7 @@
 // forget drops an empty lane whose account has used no more than its share; one that is ahead is remembered until
 // virtual time has caught up with it.
 func (q *fairQueue) forget(l *lane) {
-	if l.finish <= q.virtual {
+	if l.finish <= q.virtual-idleCredit {
 		delete(q.lanes, l.account)
 		return
 	}
@@ -113,7 +118,7 @@
 		return
 	}
 	for id, other := range q.lanes {
-		if len(other.list) == 0 && other.finish <= q.virtual {
+		if len(other.list) == 0 && other.finish <= q.virtual-idleCredit {
 			delete(q.lanes, id)
 		}
 	}
