core/dispatch: a late attempt waits for an idle prefill engine

Cause: a late prefill of some 100 ms started in every gap and kept the next fresh attempt waiting, since prefills are not interrupted. Now a late one starts only where an engine has nothing to compute and no other late prefill is under way, besides its one placement in 40.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -184,11 +184,10 @@
 // placement in lateEvery, so none starves; refusing them was rejected, since a late answer is worth more than none.
 func (p *part) placeNext(t *core.Turn, pl *pool) bool {
 	pl.demote(t.Now)
-	first, second := &pl.fresh, &pl.late
-	if pl.sinceLate >= lateEvery && pl.late.size() > 0 {
-		first, second = second, first
+	if pl.sinceLate >= lateEvery && pl.late.size() > 0 && p.placeFrom(t, pl, &pl.late) {
+		return true
 	}
-	return p.placeFrom(t, pl, first) || p.placeFrom(t, pl, second)
+	return p.placeFrom(t, pl, &pl.fresh) || (pl.idle(t.Now) && p.placeFrom(t, pl, &pl.late))
 }
 
 // placeFrom places the first attempt of a queue that finds room.
@@ -214,6 +213,7 @@
 	pl.sinceLate++
 	if q == &pl.late {
 		pl.sinceLate = 0
+		pl.lateRuns = h.ask.Attempt
 	}
 	h.boot = p.bootOf(next.from)
 	t.Decide(decision(h, c, t.Now.Sub(next.queued)))
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -80,3 +80,12 @@
 }
 
 func (p *pool) waiting() int { return p.fresh.size() + p.late.size() }
+
+// idle reports whether a late attempt keeps no fresh one waiting that comes a moment later: an engine has nothing to
+// compute, and no other late prefill is under way.
+func (p *pool) idle(now time.Time) bool {
+	if h := p.held[p.lateRuns]; h != nil && h.prefill > 0 {
+		return false
+	}
+	return len(p.prefilling.items) == 0 || !now.Before(p.prefilling.items[0].busy)
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -30,6 +30,8 @@
 	late  fairQueue
 	// sinceLate counts placements since the last late one.
 	sinceLate int
+	// lateRuns is the late attempt that was placed last.
+	lateRuns core.AttemptID
 	pace      pace
 	held      map[core.AttemptID]*held
 	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
