--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -51,8 +51,8 @@
 	}
 	needs := p.pace.start
 	tokens := w.ask.Prompt
-	if len(p.prefilling.items) > 0 {
-		u := p.prefilling.items[0]
+	if p.prefilling.Len() > 0 {
+		u := p.prefilling.Min()
 		tokens -= u.cached(w.ask.Blocks)
 		needs += max(0, u.busy.Sub(now))
 	}
@@ -87,5 +87,5 @@
 	if h := p.held[p.lateRuns]; h != nil && h.prefill > 0 {
 		return false
 	}
-	return len(p.prefilling.items) == 0 || !now.Before(p.prefilling.items[0].busy)
+	return p.prefilling.Len() == 0 || !now.Before(p.prefilling.Min().busy)
 }
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderlever/core"
+	"oleanderlever/core/ordered"
 )
 
 // held is what the ledger reserves for an attempt.
@@ -32,11 +33,11 @@
 	sinceLate int
 	// lateRuns is the late attempt that was placed last.
 	lateRuns core.AttemptID
-	pace      pace
-	held      map[core.AttemptID]*held
+	pace     pace
+	held     map[core.AttemptID]*held
 	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
-	answering  orderedHeap[*upstream]
-	prefilling orderedHeap[*upstream]
+	answering  ordered.Heap[*upstream]
+	prefilling ordered.Heap[*upstream]
 	// prefixes lists the engines that lately got a prompt with a first block.
 	prefixes map[uint64][]core.UpstreamID
 	// empty is since when the pool has had no upstream at all.
@@ -46,8 +47,8 @@
 func newPool(id core.PoolID, now time.Time) *pool {
 	return &pool{
 		id: id, upstreams: map[core.UpstreamID]*upstream{}, fresh: newFairQueue(), late: newFairQueue(), held: map[core.AttemptID]*held{}, empty: now,
-		answering:  orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.answeringAt }, less: lessBusy},
-		prefilling: orderedHeap[*upstream]{at: func(u *upstream) *int { return &u.prefillingAt }, less: shorterPrefill},
+		answering:  ordered.Heap[*upstream]{At: func(u *upstream) *int { return &u.answeringAt }, Less: lessBusy},
+		prefilling: ordered.Heap[*upstream]{At: func(u *upstream) *int { return &u.prefillingAt }, Less: shorterPrefill},
 		prefixes:   map[uint64][]core.UpstreamID{},
 	}
 }
@@ -70,14 +71,14 @@
 func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
 	usable := u.usable(now, policy)
 	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
-		p.answering.fix(u)
+		p.answering.Fix(u)
 	} else {
-		p.answering.remove(u)
+		p.answering.Remove(u)
 	}
 	if usable && u.Role.CanPrefill() {
-		p.prefilling.fix(u)
+		p.prefilling.Fix(u)
 	} else {
-		p.prefilling.remove(u)
+		p.prefilling.Remove(u)
 	}
 }
 
@@ -91,10 +92,10 @@
 // moved restores the order after an upstream's load has changed.
 func (p *pool) moved(u *upstream) {
 	if u.answeringAt >= 0 {
-		p.answering.fix(u)
+		p.answering.Fix(u)
 	}
 	if u.prefillingAt >= 0 {
-		p.prefilling.fix(u)
+		p.prefilling.Fix(u)
 	}
 }
 
@@ -171,7 +172,7 @@
 func (p *pool) chooseAnswering(w *waiting, pieces int) (choice, verdict) {
 	var c, avoided choice
 	looked, slots := 0, false
-	p.answering.ascend(func(u *upstream) bool {
+	p.answering.Ascend(func(u *upstream) bool {
 		if looked++; u.slots >= u.Slots || looked > maxLooked {
 			return false
 		}
@@ -185,7 +186,7 @@
 		}
 		return !c.full()
 	})
-	if c.best == nil && len(p.answering.items) <= len(w.ask.Avoid) {
+	if c.best == nil && p.answering.Len() <= len(w.ask.Avoid) {
 		c = avoided
 	}
 	switch {
@@ -209,7 +210,7 @@
 		into.add(u, float64(u.prefill+w.ask.Prompt-u.cached(w.ask.Blocks)))
 		return !c.full()
 	}
-	p.prefilling.ascend(seen)
+	p.prefilling.Ascend(seen)
 	if len(w.ask.Blocks) > 0 {
 		for _, id := range p.prefixes[w.ask.Blocks[0]] {
 			if u := p.upstreams[id]; u != nil && u.prefillingAt >= 0 && (c.best == nil || c.best.ID != id) {
@@ -331,8 +332,8 @@
 // drop takes an upstream out of the ledger.
 func (p *pool) drop(u *upstream) {
 	if u != nil {
-		p.answering.remove(u)
-		p.prefilling.remove(u)
+		p.answering.Remove(u)
+		p.prefilling.Remove(u)
 		delete(p.upstreams, u.ID)
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderlever/core"
+	"oleanderlever/core/ordered"
 )
 
 // waiting is an attempt in the queue.
@@ -35,14 +36,14 @@
 type fairQueue struct {
 	virtual float64
 	lanes   map[core.AccountID]*lane
-	busy    orderedHeap[*lane]
+	busy    ordered.Heap[*lane]
 	where   map[core.AttemptID]*lane
 }
 
 func newFairQueue() fairQueue {
 	return fairQueue{
 		lanes: map[core.AccountID]*lane{}, where: map[core.AttemptID]*lane{},
-		busy: orderedHeap[*lane]{at: func(l *lane) *int { return &l.at }, less: earlierLane},
+		busy: ordered.Heap[*lane]{At: func(l *lane) *int { return &l.at }, Less: earlierLane},
 	}
 }
 
@@ -69,7 +70,7 @@
 	l.list = append(l.list, w)
 	q.where[w.ask.Attempt] = l
 	if len(l.list) == 1 {
-		q.busy.fix(l)
+		q.busy.Fix(l)
 	}
 }
 
@@ -82,7 +83,7 @@
 
 // heads calls visit with the first attempt of each account, the earliest start first, until it returns false.
 func (q *fairQueue) heads(visit func(w *waiting) bool) {
-	q.busy.ascend(func(l *lane) bool { return visit(l.list[0]) })
+	q.busy.Ascend(func(l *lane) bool { return visit(l.list[0]) })
 }
 
 // pop takes out an attempt that was placed and moves virtual time on to it.
@@ -99,11 +100,11 @@
 	switch {
 	case len(l.list) == 0:
 		l.list = []*waiting{w}
-		q.busy.remove(l)
+		q.busy.Remove(l)
 		l.list = nil
 		q.forget(l)
 	case head:
-		q.busy.fix(l)
+		q.busy.Fix(l)
 	}
 }
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -7,6 +7,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/core/dispatch"
+	"oleanderlever/core/ordered"
 )
 
 const rank = 70
@@ -20,6 +21,7 @@
 	until    time.Time
 	members  []core.Member
 	requests map[core.RequestID]*request
+	wakes    ordered.Heap[*request]
 	dones    map[doneKey]*pendingDone
 	budgets  map[core.PoolID]*budget
 	draining bool
@@ -45,6 +47,7 @@
 		self: env.Self, retryAll: retryAll, limit: env.Limits.Requests, tables: empty,
 		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, listed: map[core.PoolID]int{},
 	}
+	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
 }
 
@@ -125,9 +128,14 @@
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
 		return
 	}
-	rq := &request{Request: r, admitted: a, arrived: t.Now}
+	rq := &request{Request: r, admitted: a, arrived: t.Now, wakeAt: -1}
 	rq.once = onceKey(&a, &r)
+	t.Decide(core.Decision{
+		Part: "entry", Choice: "admit", Reason: "inside the configuration", Request: r.ID, Account: a.account.ID,
+		Pool: a.pool, Prompt: r.Prompt, Max: a.output,
+	})
 	p.requests[r.ID] = rq
+	p.arm(rq)
 	if a.account.ID == "" || a.cost == 0 {
 		p.quotaTaken(t, r.ID)
 		return
@@ -143,6 +151,7 @@
 	r.charged = r.cost > 0 && r.account.ID != ""
 	if r.once != "" {
 		r.stage = stageOnce
+		p.arm(r)
 		t.Post(core.OnceWanted{Request: r.ID, Attempt: r.onceAttempt(), Key: r.once, Body: r.Body})
 		return
 	}
@@ -189,6 +198,7 @@
 
 func (p *part) sendAsk(t *core.Turn, r *request) {
 	r.resend = t.Now.Add(placeResend)
+	p.arm(r)
 	r.owner = p.ownerOf(r.pool)
 	r.ask.Left = max(0, r.Deadline.Sub(t.Now))
 	r.ask.Waited = t.Now.Sub(r.arrived)
@@ -211,6 +221,7 @@
 	}
 	r.placed = m
 	r.owner.host = from
+	p.wakes.Remove(r)
 	if r.service {
 		r.stage = stageCall
 		fresh := !r.route.Repeatable
@@ -358,6 +369,10 @@
 
 func (p *part) finish(t *core.Turn, r *request) {
 	p.budget(r.pool).earn()
+	t.Decide(core.Decision{
+		Part: "entry", Choice: "finish", Reason: "answered in full", Request: r.ID, Attempt: r.ask.Attempt.Number,
+		Account: r.account.ID, Pool: r.pool, Output: r.relayed,
+	})
 	t.Do(core.Finish{Request: r.ID})
 	p.end(t, r)
 }
@@ -365,6 +380,7 @@
 // end forgets a request and credits what it did not use.
 func (p *part) end(t *core.Turn, r *request) {
 	delete(p.requests, r.ID)
+	p.wakes.Remove(r)
 	if back := r.cost - r.used(); r.charged && back > 0 {
 		t.Post(core.QuotaBack{Account: r.account.ID, Amount: back})
 	}
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -128,22 +128,44 @@
 	})
 }
 
+// arm sets when a request that waits wants its next look.
+func (p *part) arm(r *request) {
+	switch r.stage {
+	case stageQuota:
+		r.wake = r.Deadline
+	case stagePlace:
+		r.wake = core.Earlier(r.Deadline, r.resend)
+	default:
+		p.wakes.Remove(r)
+		return
+	}
+	p.wakes.Fix(r)
+}
+
+func earlierWake(a, b *request) bool {
+	if !a.wake.Equal(b.wake) {
+		return a.wake.Before(b.wake)
+	}
+	return a.ID < b.ID
+}
+
+// wakeUp refuses a request that has waited too long, or asks the dispatcher again.
+func (p *part) wakeUp(t *core.Turn, r *request) {
+	if core.Due(r.Deadline, t.Now) {
+		f := core.Fail(core.KindDeadline, "the request could not start in time")
+		f.NotRun = !r.ran
+		p.stopWaiting(t, r, f)
+		return
+	}
+	p.sendAsk(t, r)
+}
+
 func (p *part) tick(t *core.Turn) {
 	if core.Due(p.list, t.Now) {
 		p.sendLists(t)
 	}
-	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
-		r := p.requests[id]
-		waits := r.stage == stageQuota || r.stage == stagePlace
-		if waits && core.Due(r.Deadline, t.Now) {
-			f := core.Fail(core.KindDeadline, "the request could not start in time")
-			f.NotRun = !r.ran
-			p.stopWaiting(t, r, f)
-			continue
-		}
-		if r.stage == stagePlace && core.Due(r.resend, t.Now) {
-			p.sendAsk(t, r)
-		}
+	for p.wakes.Len() > 0 && core.Due(p.wakes.Min().wake, t.Now) {
+		p.wakeUp(t, p.wakes.Min())
 	}
 	for _, k := range sortedDones(p.dones) {
 		d := p.dones[k]
@@ -160,13 +182,8 @@
 
 func (p *part) nextDeadline() time.Time {
 	next := p.list
-	for _, r := range p.requests {
-		switch r.stage {
-		case stageQuota:
-			next = core.Earlier(next, r.Deadline)
-		case stagePlace:
-			next = core.Earlier(next, core.Earlier(r.Deadline, r.resend))
-		}
+	if p.wakes.Len() > 0 {
+		next = core.Earlier(next, p.wakes.Min().wake)
 	}
 	for _, d := range p.dones {
 		next = core.Earlier(next, core.Earlier(d.resend, d.till))
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -50,6 +50,9 @@
 	first     time.Duration
 	avoid     []core.UpstreamID
 	gone      bool
+	// wake is when the request wants a look, wakeAt its place in the order of those times.
+	wake   time.Time
+	wakeAt int
 	// ran is true once a byte of an attempt may have reached an upstream.
 	ran bool
 }
--- a/core/dispatch/heap.go
+++ b/core/ordered/heap.go
@@ -1,31 +1,39 @@
-package dispatch
+package ordered
 
 import "slices"
 
-// orderedHeap is a binary heap whose elements know their place, so that one can be moved or taken out in logarithmic
+// Heap is a binary heap whose elements know their place, so that one can be moved or taken out in logarithmic
 // time, and the smallest few can be looked at without taking them out. A sorted slice was rejected: moving an element
 // is linear, and at 2,800 upstreams two moves belong to each placement.
-type orderedHeap[T comparable] struct {
-	// less orders the elements; at returns where an element keeps its place, which is -1 outside the heap.
-	less  func(a, b T) bool
-	at    func(e T) *int
+type Heap[T comparable] struct {
+	// Less orders the elements.
+	Less func(a, b T) bool
+	// At returns where an element keeps its place, which is -1 outside the heap.
+	At func(e T) *int
+
 	items []T
 }
 
-// fix puts an element in, or moves it after its order has changed.
-func (h *orderedHeap[T]) fix(e T) {
-	i := *h.at(e)
+// Len returns how many elements the heap has.
+func (h *Heap[T]) Len() int { return len(h.items) }
+
+// Min returns the first element; the heap must not be empty.
+func (h *Heap[T]) Min() T { return h.items[0] }
+
+// Fix puts an element in, or moves it after its order has changed.
+func (h *Heap[T]) Fix(e T) {
+	i := *h.At(e)
 	if i < 0 {
 		h.items = append(h.items, e)
 		i = len(h.items) - 1
-		*h.at(e) = i
+		*h.At(e) = i
 	}
 	h.down(h.up(i))
 }
 
-// remove takes an element out if it is there.
-func (h *orderedHeap[T]) remove(e T) {
-	i := *h.at(e)
+// Remove takes an element out if it is there.
+func (h *Heap[T]) Remove(e T) {
+	i := *h.At(e)
 	if i < 0 {
 		return
 	}
@@ -34,21 +42,21 @@
 	var zero T
 	h.items[last] = zero
 	h.items = h.items[:last]
-	*h.at(e) = -1
+	*h.At(e) = -1
 	if i < last {
 		h.down(h.up(i))
 	}
 }
 
-func (h *orderedHeap[T]) swap(i, j int) {
+func (h *Heap[T]) swap(i, j int) {
 	h.items[i], h.items[j] = h.items[j], h.items[i]
-	*h.at(h.items[i]), *h.at(h.items[j]) = i, j
+	*h.At(h.items[i]), *h.At(h.items[j]) = i, j
 }
 
-func (h *orderedHeap[T]) up(i int) int {
+func (h *Heap[T]) up(i int) int {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if !h.less(h.items[i], h.items[parent]) {
+		if !h.Less(h.items[i], h.items[parent]) {
 			break
 		}
 		h.swap(i, parent)
@@ -57,11 +65,11 @@
 	return i
 }
 
-func (h *orderedHeap[T]) down(i int) {
+func (h *Heap[T]) down(i int) {
 	for {
 		least := i
 		for child := 2*i + 1; child <= 2*i+2 && child < len(h.items); child++ {
-			if h.less(h.items[child], h.items[least]) {
+			if h.Less(h.items[child], h.items[least]) {
 				least = child
 			}
 		}
@@ -73,9 +81,9 @@
 	}
 }
 
-// ascend visits the elements in order until visit returns false. It costs the square of the elements visited at the
+// Ascend visits the elements in order until visit returns false. It costs the square of the elements visited at the
 // most, so it suits a look at the first few.
-func (h *orderedHeap[T]) ascend(visit func(e T) bool) {
+func (h *Heap[T]) Ascend(visit func(e T) bool) {
 	if len(h.items) == 0 {
 		return
 	}
@@ -83,7 +91,7 @@
 	for len(front) > 0 {
 		least := 0
 		for i := range front {
-			if h.less(h.items[front[i]], h.items[front[least]]) {
+			if h.Less(h.items[front[i]], h.items[front[least]]) {
 				least = i
 			}
 		}
--- a/core/replay/measure.go
+++ b/core/replay/measure.go
@@ -44,12 +44,12 @@
 }
 
 // Share is the part of the requests inside the rate that met the targets.
-func (a *AccountResult) Share() float64 { return float64(a.GoodInside) / float64(max(1, a.Inside)) }
+func (a AccountResult) Share() float64 { return float64(a.GoodInside) / float64(max(1, a.Inside)) }
 
 // insideShare of an account's requests must be inside its rate for it to count as one that keeps to it.
 const insideShare = 0.95
 
-func (a *AccountResult) keeps() bool {
+func (a AccountResult) keeps() bool {
 	return float64(a.Inside) >= insideShare*float64(a.Sent) && a.Sent > 0
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -157,6 +157,10 @@
 	Pool    PoolID    `json:"pool,omitempty"`
 	Target  string    `json:"target,omitempty"`
 	Score   float64   `json:"score,omitempty"`
+	// Prompt, Max and Output are a model request's lengths where the decision is about the whole request.
+	Prompt Tokens `json:"prompt,omitempty"`
+	Max    Tokens `json:"max,omitempty"`
+	Output Tokens `json:"output,omitempty"`
 	// Others are the runners-up, best first.
 	Others []Candidate `json:"others,omitempty"`
 }
--- a/io/console/console.go
+++ b/io/console/console.go
@@ -34,6 +34,7 @@
 		{"service", "Run a stand-in plain service", &serviceCommand{}},
 
 		{"load", "Drive running hosts and measure", &loadCommand{}},
+		{"replay", "Play a trace through the decision core, beside a naive baseline", &replayCommand{}},
 		{"demo", "Show the whole path on loopback", &demoCommand{}},
 	}
 }
--- /dev/null
+++ b/io/console/replay.go
@@ -0,0 +1,138 @@
+package console
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleanderlever/core/replay"
+)
+
+type replayCommand struct {
+	Trace    string        `long:"trace" description:"trace file in JSON lines"`
+	Generate []string      `long:"generate" description:"make a trace by name, or all; may be repeated"`
+	Record   string        `long:"record" description:"make a trace of a host's decision log"`
+	Out      string        `long:"out" description:"write the trace here and play nothing"`
+	Seed     uint64        `long:"seed" default:"1"`
+	Length   time.Duration `long:"length" default:"30s"`
+	JSON     bool          `long:"json"`
+	Plot     string        `long:"plot" description:"write a gnuplot script with the measures here"`
+}
+
+// pair is what a trace came to with this system and with the naive baseline.
+type pair struct {
+	Name  string         `json:"name"`
+	Ours  *replay.Result `json:"ours"`
+	Naive *replay.Result `json:"naive"`
+}
+
+// Execute plays traces and prints the four measures side by side.
+func (c *replayCommand) Execute([]string) error {
+	traces, err := c.traces()
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		return c.write(traces)
+	}
+	var pairs []pair
+	for _, t := range traces {
+		pairs = append(pairs, pair{Name: t.Name, Ours: replay.Play(t, false), Naive: replay.Play(t, true)})
+	}
+	if c.Plot != "" {
+		if err := os.WriteFile(c.Plot, plot(pairs), 0o600); err != nil {
+			return errors.Wrap(err, "plot")
+		}
+	}
+	if c.JSON {
+		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(pairs), "replay")
+	}
+	return printPairs(os.Stdout, pairs)
+}
+
+func (c *replayCommand) traces() ([]*replay.Trace, error) {
+	switch {
+	case c.Trace != "":
+		f, err := os.Open(c.Trace)
+		if err != nil {
+			return nil, errors.Wrap(err, "trace")
+		}
+		defer func() { _ = f.Close() }()
+		t, err := replay.Read(f)
+		return []*replay.Trace{t}, errors.Wrap(err, c.Trace)
+	case c.Record != "":
+		f, err := os.Open(c.Record)
+		if err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+		defer func() { _ = f.Close() }()
+		t, err := replay.Record(f, "recorded")
+		return []*replay.Trace{t}, errors.Wrap(err, c.Record)
+	}
+	return c.generated()
+}
+
+func (c *replayCommand) generated() ([]*replay.Trace, error) {
+	names := c.Generate
+	if len(names) == 0 {
+		return nil, errors.Newf("give --trace, --record or --generate with one of: all, %s", strings.Join(replay.Names(), ", "))
+	}
+	if names[0] == "all" {
+		names = replay.Names()
+	}
+	var out []*replay.Trace
+	for _, n := range names {
+		t, err := replay.Generate(n, c.Seed, c.Length)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+func (c *replayCommand) write(traces []*replay.Trace) error {
+	f, err := os.Create(c.Out)
+	if err != nil {
+		return errors.Wrap(err, "out")
+	}
+	if err := traces[0].Write(f); err != nil {
+		return err
+	}
+	return errors.Wrap(f.Close(), "out")
+}
+
+func printPairs(w io.Writer, pairs []pair) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "TRACE\tVERSION\tGOODPUT\tOF ORACLE\tWASTED\tWORST ACCOUNT\tREFUSED\tINSIDE RATE\tFAULTS")
+	for _, p := range pairs {
+		for _, r := range []struct {
+			version string
+			*replay.Result
+		}{{"oleanderlever", p.Ours}, {"naive", p.Naive}} {
+			worst := r.Worst()
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%.1f/s\t%.2f\t%.3f\t%.3f %s\t%d\t%d\t%d\n", p.Name, r.version, r.Goodput, r.Goodput/r.Oracle, r.Wasted, worst.Share(), worst.ID, r.Refused, r.RefusedInside, len(r.Faults))
+		}
+	}
+	return errors.Wrap(t.Flush(), "replay")
+}
+
+// plot makes a gnuplot script that draws goodput and worst account as shares.
+func plot(pairs []pair) []byte {
+	var b strings.Builder
+	b.WriteString("$measures << EOD\n")
+	for _, p := range pairs {
+		ours, naive := p.Ours.Worst(), p.Naive.Worst()
+		_, _ = fmt.Fprintf(&b, "%s %.4f %.4f %.4f %.4f\n", p.Name, p.Ours.Goodput/p.Ours.Oracle, p.Naive.Goodput/p.Naive.Oracle, ours.Share(), naive.Share())
+	}
+	b.WriteString("EOD\nset style data histograms\nset style fill solid\nset yrange [0:1.1]\nset xtics rotate by -45\n" +
+		"plot $measures using 2:xtic(1) title 'goodput of oracle', '' using 3 title 'naive goodput', " +
+		"'' using 4 title 'worst account', '' using 5 title 'naive worst account'\n")
+	return []byte(b.String())
+}
--- a/io/platform/peer.go
+++ b/io/platform/peer.go
@@ -74,6 +74,9 @@
 	if d.Target != "" {
 		e = e.Str("target", d.Target).Float64("score", d.Score)
 	}
+	if d.Prompt > 0 || d.Output > 0 {
+		e = e.Int64("prompt", int64(d.Prompt)).Int64("max", int64(d.Max)).Int64("output", int64(d.Output))
+	}
 	if len(d.Others) > 0 {
 		e = e.Array("others", candidates(d.Others))
 	}
