core/replica, cmd: a leader that is asked for confirmations looks after its keepers; the path as processes

Fault found by TestProcesses/lostDisk: with the status polled every 20 ms a lost folder was not repaired within 60 s. Cause: each confirmation sends heartbeats and puts the next beat off, and the leader looked for its quorum and at the keeper set only when a beat was due, so never. Ruled out: membership (the leader saw the new folder) and credentials (a run by hand without polls repaired it in 0.3 s). The look now has a deadline of its own. TestConfirmationsDoNotHoldUpTheLeader was red before (not repaired in 20 s of polls) and is green.

--- /dev/null
+++ b/cmd/oleanderlever/main_test.go
@@ -0,0 +1,306 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+	"oleanderlever/io/caller"
+	"oleanderlever/io/daemon"
+	"oleanderlever/io/engine"
+	"oleanderlever/io/operator"
+	"oleanderlever/io/service"
+)
+
+const (
+	patience = 60 * time.Second
+	model    = "verse-writer"
+	answer   = 60
+)
+
+// host is one process of the system.
+type host struct {
+	name, settings, folder                  string
+	callers, upstreams, hosts, operatorAddr netip.AddrPort
+	process                                 *exec.Cmd
+}
+
+// system is three host processes, with stand-ins in the test's own process.
+type system struct {
+	t      *testing.T
+	binary string
+	hosts  []*host
+	key    string
+	orders *service.Service
+}
+
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "oleanderlever")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
+}
+
+func free(t *testing.T) netip.AddrPort {
+	addr, err := daemon.FreeAddr()
+	require.NoError(t, err)
+	return addr
+}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, binary: build(t)}
+	var seeds []string
+	for n := range 3 {
+		h := &host{name: fmt.Sprintf("h%d", n+1), callers: free(t), upstreams: free(t), hosts: free(t), operatorAddr: free(t)}
+		h.folder = filepath.Join(t.TempDir(), "data")
+		s.hosts = append(s.hosts, h)
+		seeds = append(seeds, fmt.Sprintf("%q", h.hosts))
+	}
+	for n, h := range s.hosts {
+		text := fmt.Sprintf(`host = %q
+dataCentre = "dc-%d"
+roles = ["entry", "keeper"]
+keepers = ["h1", "h2", "h3"]
+seeds = [%s]
+dataFolder = %q
+[listen]
+callers = %q
+upstreams = %q
+hosts = %q
+operators = %q
+[credentials]
+hostSecret = "a secret of the hosts"
+upstreamSecret = "a secret of the upstreams"
+`, h.name, n+1, strings.Join(seeds, ", "), h.folder, h.callers, h.upstreams, h.hosts, h.operatorAddr)
+		h.settings = filepath.Join(t.TempDir(), "settings.toml")
+		require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
+		s.start(h)
+	}
+	t.Cleanup(func() {
+		for _, h := range s.hosts {
+			s.kill(h)
+		}
+	})
+	return s
+}
+
+func (s *system) start(h *host) {
+	h.process = exec.Command(s.binary, "host", "--settings", h.settings)
+	require.NoError(s.t, h.process.Start())
+}
+
+// kill ends a process at once, also a stopped one.
+func (s *system) kill(h *host) {
+	if h.process == nil {
+		return
+	}
+	_ = h.process.Process.Kill()
+	_ = h.process.Wait()
+	h.process = nil
+}
+
+func (s *system) standIns() {
+	var upstreams []netip.AddrPort
+	for _, h := range s.hosts {
+		upstreams = append(upstreams, h.upstreams)
+	}
+	for n, role := range []core.Role{core.RolePrefill, core.RoleDecode, core.RoleDecode} {
+		e, err := engine.Start(engine.Config{
+			ID: core.UpstreamID(fmt.Sprintf("e%d", n)), Pool: model, Role: role, Listen: free(s.t), Hosts: upstreams,
+			Secret: "a secret of the upstreams", Slots: 8, Pieces: 32, TokenTime: 10 * time.Millisecond, Answer: answer,
+		})
+		require.NoError(s.t, err)
+		s.t.Cleanup(e.Kill)
+	}
+	var err error
+	s.orders, err = service.Start(service.Config{
+		ID: "orders", Pool: "print-desk", Listen: free(s.t), Hosts: upstreams, Secret: "a secret of the upstreams",
+		Slots: 8, Time: 500 * time.Millisecond,
+	})
+	require.NoError(s.t, err)
+	s.t.Cleanup(s.orders.Stop)
+}
+
+func (s *system) ctl(h *host) *operator.Client { return operator.NewClient(h.operatorAddr, "") }
+
+// change makes a change through a host, however long the keepers take to elect a leader.
+func (s *system) change(h *host, c *operator.Change) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		_, err := s.ctl(h).Change(ctx, c)
+		if err == nil {
+			return
+		}
+		require.NoError(s.t, ctx.Err(), "%v", err)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *system) status(h *host) (*operator.StatusReply, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := s.ctl(h).Status(ctx)
+	return r, err == nil
+}
+
+func (s *system) caller(h *host) *caller.Client {
+	return &caller.Client{Addr: h.callers, Key: s.key, Timeout: patience}
+}
+
+func (s *system) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	require.Eventually(s.t, holds, patience, 20*time.Millisecond, what)
+}
+
+func (s *system) streams(h *host) bool {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"hello"}]}`, model)
+	st, err := s.caller(h).Stream("/v1/chat/completions", []byte(body), nil)
+	return err == nil && st.Whole && st.Tokens == answer
+}
+
+func (s *system) configure() {
+	key, hash, err := operator.NewKey()
+	require.NoError(s.t, err)
+	s.key = key
+	for _, c := range []*operator.Change{
+		{Change: &operator.Change_PutAccount{PutAccount: &operator.Account{Id: "cards", Weight: 1, Rate: 1e5, Burst: 1e6}}},
+		{Change: &operator.Change_AddKey{AddKey: &operator.Key{Id: "shop", Account: "cards", Hash: hash[:]}}},
+		{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: model, MaxOutput: 64}}},
+		{Change: &operator.Change_PutRoute{PutRoute: &operator.Route{Name: "orders", Path: "/orders", Pool: "print-desk", TimeoutMillis: 5000, Cost: 1}}},
+	} {
+		s.change(s.hosts[2], c)
+	}
+}
+
+// leader returns the leader's process and another one, as a host that is asked sees it.
+func (s *system) leader(asked *host) (leader, other *host) {
+	s.eventually("a leader", func() bool {
+		r, ok := s.status(asked)
+		if !ok {
+			return false
+		}
+		for _, h := range s.hosts {
+			if h.name == r.GetLeader() {
+				leader = h
+			} else if h != asked || other == nil {
+				other = h
+			}
+		}
+		return leader != nil
+	})
+	return leader, other
+}
+
+// The whole path as separate processes, under kills, a lost disk and a freeze.
+func TestProcesses(t *testing.T) {
+	s := newSystem(t)
+	s.standIns()
+	s.configure()
+	for _, h := range s.hosts {
+		s.eventually("a stream through "+h.name, func() bool { return s.streams(h) })
+	}
+	t.Run("killedEntryHostRunsNoOrderTwice", func(t *testing.T) { killedEntryHost(t, s) })
+	t.Run("killedLeader", func(t *testing.T) { killedLeader(t, s) })
+	t.Run("lostDisk", func(t *testing.T) { lostDisk(t, s) })
+	t.Run("frozenLeader", func(t *testing.T) { frozenLeader(t, s) })
+	t.Run("drain", func(t *testing.T) { drain(t, s) })
+}
+
+// "Processes die in mid-request": an order whose host dies while the service works on it is never run again.
+func killedEntryHost(t *testing.T, s *system) {
+	once := caller.Header{Name: "Idempotency-Key", Value: "o-1"}
+	victim, other := s.hosts[0], s.hosts[1]
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = s.caller(victim).Do(http.MethodPost, "/orders", []byte("card"), once)
+	}()
+	s.eventually("the order to arrive", func() bool { return strings.Contains(s.orders.Started(), "card") })
+	s.kill(victim)
+	<-sent
+	s.eventually("the truth about the order", func() bool {
+		a, err := s.caller(other).Do(http.MethodPost, "/orders", []byte("card"), once)
+		return err == nil && a.Kind == "outcomeUnknown" && !a.NotRun
+	})
+	require.Equal(t, 1, s.orders.Runs("card"))
+	s.start(victim)
+	s.eventually("a stream through the restarted host", func() bool { return s.streams(victim) })
+}
+
+func killedLeader(t *testing.T, s *system) {
+	before, ok := s.status(s.hosts[0])
+	require.True(t, ok)
+	leader, other := s.leader(s.hosts[0])
+	s.kill(leader)
+	s.eventually("a stream without the old leader", func() bool { return s.streams(other) })
+	s.change(other, &operator.Change{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: "second", MaxOutput: 8}}})
+	s.start(leader)
+	s.eventually("the old leader to catch up", func() bool {
+		a, err := s.caller(leader).Do(http.MethodGet, "/v1/models", nil)
+		return err == nil && strings.Contains(string(a.Body), "second")
+	})
+	after, ok := s.status(leader)
+	require.True(t, ok)
+	require.Greater(t, after.GetVersion(), before.GetVersion())
+	require.Len(t, after.GetKeys(), 1)
+}
+
+func lostDisk(t *testing.T, s *system) {
+	leader, victim := s.leader(s.hosts[0])
+	s.kill(victim)
+	require.NoError(t, os.RemoveAll(victim.folder))
+	s.start(victim)
+	s.eventually("the new folder to vote", func() bool {
+		id, err := os.ReadFile(filepath.Join(victim.folder, "disk-id"))
+		r, ok := s.status(leader)
+		if err != nil || !ok || len(r.GetKeepers()) != 3 {
+			return false
+		}
+		for _, k := range r.GetKeepers() {
+			if k.GetDisk() == strings.TrimSpace(string(id)) {
+				return k.GetVoter()
+			}
+		}
+		return false
+	})
+}
+
+// "A control host can be cut off silently": the leader is stopped while a key is withdrawn. When it goes on, it does not
+// take the key for one more request.
+func frozenLeader(t *testing.T, s *system) {
+	leader, other := s.leader(s.hosts[0])
+	require.NoError(t, leader.process.Process.Signal(syscall.SIGSTOP))
+	s.change(other, &operator.Change{Change: &operator.Change_WithdrawKey{WithdrawKey: "shop"}})
+	// The change is in force once the frozen host's lease must have run out.
+	s.eventually("the withdrawal in force", func() bool {
+		r, ok := s.status(other)
+		return ok && r.GetInForce() == r.GetVersion()
+	})
+	require.NoError(t, leader.process.Process.Signal(syscall.SIGCONT))
+	for _, h := range s.hosts {
+		a, err := s.caller(h).Do(http.MethodPost, "/orders", []byte("late"))
+		require.NoError(t, err)
+		require.Contains(t, []string{"badKey", "notReady"}, a.Kind, h.name)
+		require.True(t, a.NotRun)
+	}
+	require.Zero(t, s.orders.Runs("late"))
+}
+
+func drain(t *testing.T, s *system) {
+	h := s.hosts[1]
+	require.NoError(t, h.process.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, h.process.Wait())
+	h.process = nil
+}
--- a/core/replica/append.go
+++ b/core/replica/append.go
@@ -53,11 +53,19 @@
 	return hosts
 }
 
-// leaderTick steps down without a quorum, sends heartbeats and repairs the keeper set.
+// leaderTick looks after the keepers and sends heartbeats.
 func (p *part) leaderTick(t *core.Turn) {
-	if !core.Due(p.beat, t.Now) {
-		return
+	if core.Due(p.check, t.Now) {
+		p.check = t.Now.Add(Heartbeat)
+		p.lookAfter(t)
+	}
+	if p.role == roleLeader && core.Due(p.beat, t.Now) {
+		p.broadcast(t)
 	}
+}
+
+// lookAfter steps down without a quorum and repairs the keeper set.
+func (p *part) lookAfter(t *core.Turn) {
 	alive := func(k core.Keeper) bool {
 		return k.Host == p.self || t.Now.Sub(p.peer(t, k.Host).heard) < MaxElection
 	}
@@ -65,7 +73,6 @@
 		p.follow(t, p.hard.Epoch, "")
 		return
 	}
-	p.broadcast(t)
 	p.repairKeepers(t)
 }
 
--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -150,6 +150,7 @@
 	p.setLeader(t, p.self)
 	p.noop = p.log.last() + 1
 	p.heardAt = t.Now
+	p.check = t.Now.Add(Heartbeat)
 	p.appendOwn(t, core.Entry{Kind: core.EntryNoop})
 	p.broadcast(t)
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -93,6 +93,9 @@
 	marks    []mark
 	election time.Time
 	beat     time.Time
+	// check is when the leader next looks for its quorum and at the keeper set. Confirmations put the next heartbeat off,
+	// however many there are; they must not put this off.
+	check    time.Time
 	round    uint64
 	confirms []confirm
 	heardAt  time.Time
@@ -152,7 +155,7 @@
 	case core.Persisted:
 		p.persisted(t, e.Seq)
 	case core.DiskFailed:
-		p.stop(t)
+		p.stop(t, e.Reason)
 	case core.Propose:
 		p.propose(t, e.Entry)
 	case core.Confirm:
@@ -198,7 +201,9 @@
 	}
 }
 
-func (p *part) stop(t *core.Turn) {
+// stop takes the keeper out: after a failed sync nothing that it holds can be acknowledged.
+func (p *part) stop(t *core.Turn, reason string) {
+	t.Decide(core.Decision{Part: "replica", Choice: "diskFailed", Reason: reason, Target: string(p.self)})
 	p.role = roleStopped
 	p.held = nil
 	p.setLeader(t, "")
@@ -225,7 +230,7 @@
 func (p *part) nextDeadline() time.Time {
 	switch p.role {
 	case roleLeader:
-		return p.beat
+		return core.Earlier(p.beat, p.check)
 	case roleStopped:
 		return time.Time{}
 	}
@@ -321,6 +326,11 @@
 }
 
 func (p *part) gauges(set func(string, int64)) {
+	leads := int64(0)
+	if p.role == roleLeader {
+		leads = 1
+	}
+	set("leads", leads)
 	set("epoch", int64(p.hard.Epoch))
 	set("commitIndex", int64(p.commit))
 	set("logEntries", int64(len(p.log.entries)))
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -351,3 +351,38 @@
 	require.NotEqual(t, old.ID, c.status(c.Hosts[3]).Leader)
 	require.Empty(t, c.faults)
 }
+
+// A leader that is asked for confirmations all the time still repairs the keeper set and still steps down alone.
+func TestConfirmationsDoNotHoldUpTheLeader(t *testing.T) {
+	c := newCluster(t, calm(5, 4, 3), replica.Safety{})
+	c.change(c.Hosts[3], account(0))
+	leader := c.leader()
+	lost := c.Hosts[0]
+	if lost == leader {
+		lost = c.Hosts[1]
+	}
+	c.LoseDisk(lost)
+	c.Boot(lost)
+	repaired := false
+	for n := 0; n < 1000 && !repaired; n++ {
+		ticket := c.op.AskStatus(c.Hosts[3])
+		c.RunFor(20 * time.Millisecond)
+		for _, k := range c.op.Status[ticket].Status.Keepers {
+			repaired = repaired || (k.Disk == lost.Disk && k.Voter)
+		}
+	}
+	require.True(t, repaired)
+	c.Cut = func(from, to core.HostID) bool { return from == leader.ID || to == leader.ID }
+	for range 200 {
+		c.op.AskStatus(leader)
+		c.RunFor(20 * time.Millisecond)
+	}
+	require.NotEqual(t, leader.ID, c.status(c.Hosts[3]).Leader)
+	steppedDown := false
+	leader.Kernel.Gauges(func(name string, value int64) {
+		if name == "replica.leads" {
+			steppedDown = value == 0
+		}
+	})
+	require.True(t, steppedDown)
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -51,6 +51,8 @@
 	faults Faults
 	// runs counts the calls that changed something, by body.
 	runs map[string]int
+	// started is the body of the call that came last.
+	started string
 	// leaked counts calls that came with a credential that is not the system's.
 	leaked int
 	// seen is the text of the latest requests, to look for a caller's key in it.
@@ -109,6 +111,13 @@
 	return s.runs[body]
 }
 
+// Started returns the body of the call that came last, which may still be under way.
+func (s *Service) Started() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
 // Leaked returns how many calls came with a credential that is not the system's.
 func (s *Service) Leaked() int {
 	s.mu.Lock()
@@ -128,6 +137,9 @@
 		s.takeFaults(ctx)
 		return
 	}
+	s.mu.Lock()
+	s.started = string(ctx.PostBody())
+	s.mu.Unlock()
 	time.Sleep(s.config.Time)
 	s.mu.Lock()
 	defer s.mu.Unlock()
