--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -235,3 +237,31 @@
 		require.False(t, stale(seed), "seed %d", seed)
 	}
 }
+
+// BenchmarkKeeperMemory reports the heap of a keeper with 1,400 accounts, three keys each, and 4,096 answered commands.
+func BenchmarkKeeperMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for range b.N {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		k := core.New(core.Env{Self: "h", Limits: core.DefaultLimits(), Rand: rand.New(rand.NewPCG(1, 1))}, config.Plugin(), lease.Plugin())
+		version := core.Version(0)
+		apply := func(c core.Change) {
+			e := core.Entry{Kind: core.EntryCommand, Command: core.Command{ID: core.CommandID(fmt.Sprint("command-", version)), Expect: version, Change: c}}
+			k.Step(harness.Start, core.Committed{Entry: e})
+			version++
+		}
+		for n := range 1400 {
+			id := core.AccountID(fmt.Sprintf("account-%04d", n))
+			apply(core.Change{Kind: core.ChangePutAccount, Account: core.Account{ID: id, Weight: 1}})
+			for i := range 3 {
+				hash := core.KeyHash{byte(n), byte(n >> 8), byte(i), 1}
+				apply(core.Change{Kind: core.ChangeAddKey, Key: core.Key{ID: core.KeyID(fmt.Sprint(id, "-", i)), Account: id, Hash: hash}})
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(k)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -227,3 +228,29 @@
 		})
 	}
 }
+
+// BenchmarkLedgerMemory reports the heap of a dispatcher with 2,800 upstreams, hints for each, and 20,000 attempts.
+func BenchmarkLedgerMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for range b.N {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := newDesk(entryHost)
+		for n := range 2800 {
+			role := core.RoleDecode
+			if n%3 == 0 {
+				role = core.RolePrefill
+			}
+			d.engine(core.UpstreamID(fmt.Sprintf("u%04d", n)), role, 20, 64, n+1)
+		}
+		for n := range 20_000 {
+			blocks := []uint64{uint64(n % 97), uint64(n)<<8 + 1, uint64(n)<<8 + 2, uint64(n)<<8 + 3}
+			a := core.PlaceAsk{Attempt: attempt(n), Boot: 1, Account: core.AccountID(fmt.Sprint("a", n%1400)), Pool: pool, Weight: 1, Prompt: 1000, Output: 100, Blocks: blocks, Left: time.Minute}
+			d.k.Step(d.now, core.Received{From: "e", Message: a})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(d)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+}
