core/dispatch: an account's short prompts may pass its long ones

Cause: where prefill is the bottleneck, a long prompt first in its account keeps several short ones waiting past the target. An attempt is now ranked by arrival plus five times its prefill, so a long one is passed for a bounded time.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -147,6 +147,10 @@
 	}
 }
 
+// shortFirst is how many times its prefill an attempt may be passed by later ones of its own account: a short prompt
+// costs the long one little, and the other way round it costs the short one its target.
+const shortFirst = 5
+
 func (p *part) asked(t *core.Turn, from core.HostID, m core.PlaceAsk) {
 	pl := p.pool(t, m.Pool)
 	if h := pl.held[m.Attempt]; h != nil {
@@ -160,7 +164,9 @@
 		t.Send(from, core.PlaceRefused{Attempt: m.Attempt, Failure: *core.Fail(core.KindOverloaded, "the queue of %s is full", m.Pool)})
 		return
 	}
-	pl.fresh.push(&waiting{ask: m, from: from, arrived: t.Now.Add(-m.Waited), queued: t.Now, deadline: t.Now.Add(m.Left)})
+	w := &waiting{ask: m, from: from, arrived: t.Now.Add(-m.Waited), queued: t.Now, deadline: t.Now.Add(m.Left)}
+	w.rank = w.arrived.Add(shortFirst * pl.pace.backlog(m.Prompt))
+	pl.fresh.push(w)
 	p.serve(t, pl)
 }
 
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -60,8 +60,8 @@
 	return now.Sub(w.arrived)+needs <= firstTarget-firstSlack
 }
 
-// demote moves attempts that can't meet the target any more to the late queue. Only the first of each account needs a
-// look: those behind it came later.
+// demote moves attempts that can't meet the target any more to the late queue. Only the first of each account gets a
+// look; those behind it get theirs when they are first.
 func (p *pool) demote(now time.Time) {
 	for {
 		var stale *waiting
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -14,8 +14,10 @@
 	from  core.HostID
 	start float64
 	// arrived is when the caller's request came, queued when the attempt came here.
-	arrived  time.Time
-	queued   time.Time
+	arrived time.Time
+	queued  time.Time
+	// rank orders the attempts of one account.
+	rank     time.Time
 	deadline time.Time
 }
 
@@ -56,7 +58,7 @@
 
 func (q *fairQueue) size() int { return len(q.where) }
 
-// push puts an attempt at the end of its account's lane.
+// push puts an attempt in its account's lane by its rank.
 func (q *fairQueue) push(w *waiting) {
 	id := w.ask.Account
 	l := q.lanes[id]
@@ -67,9 +69,13 @@
 	weight := float64(max(1, w.ask.Weight))
 	w.start = max(q.virtual-idleCredit/weight, l.finish)
 	l.finish = w.start + cost(&w.ask)/weight
-	l.list = append(l.list, w)
+	i := len(l.list)
+	for i > 0 && w.rank.Before(l.list[i-1].rank) {
+		i--
+	}
+	l.list = slices.Insert(l.list, i, w)
 	q.where[w.ask.Attempt] = l
-	if len(l.list) == 1 {
+	if i == 0 {
 		q.busy.Fix(l)
 	}
 }
