--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -177,7 +177,7 @@
 		n := conns.Add(1)
 		for read(conn) {
 			if n == 1 {
-				time.Sleep(150 * time.Millisecond)
+				time.Sleep(5 * time.Second)
 			}
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
 		}
@@ -186,7 +186,7 @@
 	for n := range 5 {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("/menu")
-		f := c.Call(addr, attempt, req, resp, 100*time.Millisecond, false)
+		f := c.Call(addr, attempt, req, resp, 500*time.Millisecond, false)
 		if n == 0 {
 			require.NotNil(t, f)
 			continue
