core: a draining host hands over leadership and tokens; pools are bounded and forgotten

Tokens at hand go back, and a link delivers what waits for it before it ends, so a goodbye is not lost. A dispatcher kept every pool that an upstream ever named; now 1,024 at the most, and an empty one for 30 s.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,6 +20,8 @@
 	// that has been silent for so long has dropped out of the pool.
 	cancelEvery = 500 * time.Millisecond
 	cancelFor   = 30 * time.Second
+	// maxPools bounds the pools of one dispatcher, since any upstream may name one.
+	maxPools = 1024
 )
 
 // cancelKey names one cancel at one upstream.
@@ -120,6 +122,9 @@
 
 func (p *part) news(t *core.Turn, m core.UpstreamNews) {
 	if a := m.Announcement; a != nil {
+		if p.pools[a.Pool] == nil && len(p.pools) >= maxPools {
+			return
+		}
 		pl := p.pool(t, a.Pool)
 		if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
 			pl.announce(*a, t.Now)
@@ -425,6 +430,9 @@
 	p.sweep = time.Time{}
 	for _, id := range slices.Sorted(maps.Keys(p.pools)) {
 		p.sweepPool(t, p.pools[id])
+		if p.pools[id].unused(t.Now) {
+			delete(p.pools, id)
+		}
 	}
 	p.repeatCancels(t)
 	if len(p.pools) > 0 || len(p.cancels) > 0 {
@@ -477,6 +485,7 @@
 		heldCount += len(pl.held)
 		upstreams += len(pl.upstreams)
 	}
+	set("pools", int64(len(p.pools)))
 	set("queued", int64(queued))
 	set("placed", int64(heldCount))
 	set("upstreams", int64(upstreams))
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -179,6 +179,31 @@
 	require.True(t, d.refused[attempt(1)].NotRun)
 }
 
+// Pools that any upstream may name are bounded and do not stay.
+func TestPoolsAreBoundedAndForgotten(t *testing.T) {
+	d := newDesk(entryHost)
+	for n := range 5000 {
+		d.step(core.UpstreamAnnounced{Announcement: core.Announcement{
+			ID: "u", Pool: core.PoolID(fmt.Sprint("pool-", n)), Role: core.RoleService, Slots: 1,
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 1),
+		}})
+	}
+	count := func() (n int64) {
+		d.k.Gauges(func(name string, value int64) {
+			if name == "dispatch.pools" {
+				n = value
+			}
+		})
+		return n
+	}
+	require.Positive(t, count())
+	require.LessOrEqual(t, count(), int64(1024))
+	for range 700 {
+		d.pass(100 * time.Millisecond)
+	}
+	require.Zero(t, count())
+}
+
 func TestPoolsMoveOnlyWithTheirHosts(t *testing.T) {
 	var members []core.Member
 	for n := range 9 {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -337,6 +337,11 @@
 	}
 }
 
+// unused reports whether nothing has been left of a pool for a while.
+func (p *pool) unused(now time.Time) bool {
+	return len(p.upstreams) == 0 && len(p.held) == 0 && p.waiting() == 0 && now.Sub(p.empty) >= forgetAfter
+}
+
 // forget drops upstreams that have been silent for long.
 func (p *pool) forget(now time.Time) {
 	for _, u := range p.upstreams {
--- a/core/message.go
+++ b/core/message.go
@@ -48,6 +48,13 @@
 	Disk      DiskID `cbor:"disk"`
 	LastIndex Index  `cbor:"lastIndex"`
 	LastEpoch Epoch  `cbor:"lastEpoch"`
+	// HandOver is true where the leader of the epoch before asked for the election.
+	HandOver bool `cbor:"handOver"`
+}
+
+// TakeOver asks a keeper to become the leader, since the one that sends it is shutting down.
+type TakeOver struct {
+	Epoch Epoch `cbor:"epoch"`
 }
 
 // VoteReply answers a VoteAsk.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -312,6 +312,21 @@
 	}
 }
 
+// returnAll gives everything at hand back at once, because the host is shutting down.
+func (h *holder) returnAll(t *core.Turn) {
+	ask := core.QuotaAsk{Boot: h.boot, Epoch: h.epoch}
+	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
+		a := h.accounts[id]
+		a.giveBack(h.epoch)
+		if line, ok := a.line(t.Now, id, h.epoch); ok {
+			ask.Lines = append(ask.Lines, line)
+		}
+	}
+	if len(ask.Lines) > 0 && h.leader != "" {
+		h.send(t, ask)
+	}
+}
+
 // back credits what an answer did not use.
 func (h *holder) back(t *core.Turn, e core.QuotaBack) {
 	a := h.accounts[e.Account]
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -50,6 +50,8 @@
 		p.holder.back(t, e)
 	case core.QuotaForget:
 		p.holder.forget(e)
+	case core.Drained:
+		p.holder.returnAll(t)
 	case core.Tick:
 		p.holder.tick(t)
 	case core.Received:
--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -54,9 +54,22 @@
 	return false
 }
 
+// election is a stage of a campaign, or a campaign without the first stage because the leader asked for it.
+type election uint8
+
+const (
+	electionPre election = iota
+	electionVote
+	electionHandOver
+)
+
 // campaign asks for promises of votes first, so that a keeper that was cut off does not disturb a working leader.
-func (p *part) campaign(t *core.Turn, pre bool) {
-	ask := core.VoteAsk{Pre: pre, Epoch: p.hard.Epoch + 1, Disk: p.disk, LastIndex: p.log.last(), LastEpoch: p.log.lastEpoch()}
+func (p *part) campaign(t *core.Turn, e election) {
+	pre := e == electionPre
+	ask := core.VoteAsk{
+		Pre: pre, Epoch: p.hard.Epoch + 1, Disk: p.disk, LastIndex: p.log.last(), LastEpoch: p.log.lastEpoch(),
+		HandOver: e == electionHandOver,
+	}
 	p.votes = map[core.HostID]bool{}
 	if pre {
 		p.role = rolePreCandidate
@@ -81,6 +94,7 @@
 	if p.role == roleLeader {
 		leaderAlive = true
 	}
+	leaderAlive = leaderAlive && !m.HandOver
 	upToDate := m.LastEpoch > p.log.lastEpoch() || (m.LastEpoch == p.log.lastEpoch() && m.LastIndex >= p.log.last())
 	if m.Epoch > p.hard.Epoch && !leaderAlive && !m.Pre {
 		p.follow(t, m.Epoch, "")
@@ -116,7 +130,7 @@
 		return
 	}
 	if pre {
-		p.campaign(t, false)
+		p.campaign(t, electionVote)
 		return
 	}
 	p.lead(t)
@@ -154,3 +168,24 @@
 	p.appendOwn(t, core.Entry{Kind: core.EntryNoop})
 	p.broadcast(t)
 }
+
+// handOver asks the keeper that holds most of the log to lead, because this host is shutting down.
+func (p *part) handOver(t *core.Turn) {
+	if p.role != roleLeader {
+		return
+	}
+	var best core.Keeper
+	for _, k := range p.voters() {
+		if k.Host != p.self && p.idleFor(t, k.Host) < MinElection && (best.Host == "" || p.matchOf(k) > p.matchOf(best)) {
+			best = k
+		}
+	}
+	t.Send(best.Host, core.TakeOver{Epoch: p.hard.Epoch})
+}
+
+// takeOver starts an election that does not wait for the leader to be given up.
+func (p *part) takeOver(t *core.Turn, from core.HostID, m core.TakeOver) {
+	if p.isVoter() && from == p.leader && m.Epoch == p.hard.Epoch {
+		p.campaign(t, electionHandOver)
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -154,6 +154,8 @@
 		p.tick(t)
 	case core.Persisted:
 		p.persisted(t, e.Seq)
+	case core.Draining:
+		p.handOver(t)
 	case core.DiskFailed:
 		p.stop(t, e.Reason)
 	case core.Propose:
@@ -181,6 +183,8 @@
 		p.snapshotAsked(t, from, m)
 	case core.AppendReply:
 		p.appendReplied(t, from, m)
+	case core.TakeOver:
+		p.takeOver(t, from, m)
 	case core.FormAsk:
 		t.Send(from, core.FormReply{Disk: p.disk, Formed: p.formed()})
 	case core.FormReply:
@@ -223,7 +227,7 @@
 		return
 	}
 	if p.isVoter() {
-		p.campaign(t, true)
+		p.campaign(t, electionPre)
 	}
 }
 
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -386,3 +386,21 @@
 	})
 	require.True(t, steppedDown)
 }
+
+// A leader that shuts down gracefully hands its role over and leaves no time without a leader.
+func TestDrainingLeaderHandsOver(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newCluster(t, calm(seed, 4, 3), replica.Safety{})
+		c.change(c.Hosts[3], account(0))
+		c.RunFor(time.Second)
+		old := c.leader()
+		c.Post(old, core.Draining{})
+		c.RunFor(50 * time.Millisecond)
+		next := c.leader()
+		require.NotEqual(t, old.ID, next.ID, "seed %d", seed)
+		c.Crash(old)
+		c.change(c.Hosts[3], account(1))
+		require.Len(t, c.leaders, 2, "seed %d: there was another election", seed)
+		require.Empty(t, c.faults, "seed %d", seed)
+	}
+}
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -41,6 +41,7 @@
 	typeHolding
 	typeHoldingUnknown
 	typeOrderWanted
+	typeTakeOver
 	typeEnd
 )
 
@@ -117,6 +118,8 @@
 		return typeHoldingUnknown
 	case core.OrderWanted:
 		return typeOrderWanted
+	case core.TakeOver:
+		return typeTakeOver
 	}
 	return 0
 }
@@ -155,6 +158,7 @@
 	typeHolding:         decode[core.Holding],
 	typeHoldingUnknown:  decode[core.HoldingUnknown],
 	typeOrderWanted:     decode[core.OrderWanted],
+	typeTakeOver:        decode[core.TakeOver],
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -54,6 +54,7 @@
 	core.UpstreamNews{Announcement: &core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
 	core.Holding{Pool: "p", Attempts: []core.AttemptID{ask.Attempt}},
 	core.HoldingUnknown{Attempts: []core.AttemptID{ask.Attempt}},
+	core.TakeOver{Epoch: 3},
 	core.OrderWanted{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
 }
 
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -38,6 +38,7 @@
 	addrs map[core.HostID]netip.AddrPort
 	links map[netip.AddrPort]*link
 	done  bool
+	open  sync.WaitGroup
 }
 
 // link is the goroutine that sends to one address.
@@ -96,18 +97,20 @@
 	l := &link{t: t, addr: addr, http: h, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
 	client := &http.Client{Transport: &bearer.Transport{Base: h, Secret: t.secret}, Timeout: callTimeout}
 	l.client = NewHostProtobufClient("http://"+addr.String(), client)
-	go l.run()
+	t.open.Go(l.run)
 	return l
 }
 
+// close ends all links once each has delivered what waited for it, or has failed to.
 func (t *transport) close() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.done = true
 	for _, l := range t.links {
 		close(l.stop)
 	}
 	clear(t.links)
+	t.mu.Unlock()
+	t.open.Wait()
 }
 
 // push never blocks: it is called on the control goroutine.
@@ -133,11 +136,21 @@
 		case m := <-l.queue:
 			l.deliver(l.collect(m))
 		case <-l.stop:
+			l.flush()
 			return
 		}
 	}
 }
 
+// flush delivers what is left, such as a host's goodbye.
+func (l *link) flush() {
+	select {
+	case m := <-l.queue:
+		l.deliver(l.collect(m))
+	default:
+	}
+}
+
 // collect takes what else is waiting, so that a busy link sends few large calls.
 func (l *link) collect(first core.Message) *Batch {
 	b := &Batch{From: string(l.t.self)}
