core: leases grow with the group, seeds are pinged in turn, stray pools end

At 340 hosts the busiest host sent 42.0 kB/s of control. Taken for the leader's leases at first; the split by message type showed 350 answers to pings in 5 s at one host: all hosts went through the seeds in the same order from the same first one. They start at random now, and ping a seed once in 100 ms times the number of hosts. Leases grow with the group beyond 33 hosts, to 18 s. Cause: a late ask made a pool there after the last change of the members, and pools were gone through on such changes only. TestCommandsAreLinearizable used a command ID twice where two rounds began at the same time; IDs are counted now.

--- a/core/check.go
+++ b/core/check.go
@@ -24,6 +24,9 @@
 		}
 		return m.Command.Change.Check()
 	case LeaseGrant:
+		if m.For <= 0 || m.For > maxSpan || m.Renew <= 0 || m.Renew > maxSpan {
+			return Fail(KindBadRequest, "lease: time out of range")
+		}
 		for i := range m.Changes {
 			if err := m.Changes[i].Check(); err != nil {
 				return err
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -52,6 +52,7 @@
 	seen    int64
 	// open counts the commands that have no answer yet.
 	open int
+	sent int
 }
 
 func (o *operators) at() int64 { return o.Now.Sub(harness.Start).Nanoseconds() }
@@ -60,7 +61,8 @@
 func (o *operators) command(client int, h, other *harness.Host, expect int64) {
 	call := o.at()
 	o.open++
-	c := core.Command{ID: core.CommandID(fmt.Sprintf("%d-%d", client, call)), Expect: core.Version(expect)}
+	o.sent++
+	c := core.Command{ID: core.CommandID(fmt.Sprintf("%d-%d", client, o.sent)), Expect: core.Version(expect)}
 	c.Change = core.Change{Kind: core.ChangePutAccount, Account: core.Account{ID: "a", Weight: 1 + client, Rate: 1, Burst: 1}}
 	o.wait(client, call, c, o.op.Send(h, c), o.op.Send(other, c))
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	pools   map[core.PoolID]*pool
 	cancels map[cancelKey]*cancel
 	sweep   time.Time
+	// nextAudit is when the pools are gone through next.
+	nextAudit time.Time
 }
 
 func init() { core.Register(Plugin()) }
@@ -388,6 +390,13 @@
 // host dispatches now once nothing of them is left here.
 func (p *part) membersChanged(t *core.Turn, e core.MembersChanged) {
 	p.members = e.Members
+	p.audit(t)
+}
+
+// audit goes through the pools when the members change, and now and then: an ask that comes late from a host with
+// another view of the members may have made a pool here that nobody else would end.
+func (p *part) audit(t *core.Turn) {
+	p.nextAudit = t.Now.Add(auditEvery)
 	for _, id := range slices.Sorted(maps.Keys(p.pools)) {
 		pl := p.pools[id]
 		for _, a := range sortedAttempts(pl.held) {
@@ -397,12 +406,15 @@
 			}
 		}
 		p.serve(t, pl)
-		if owner, _ := Owner(id, p.members); owner.Host != p.self {
+		if owner, ok := Owner(id, p.members); ok && owner.Host != p.self {
 			p.handOver(t, pl, owner.Host)
 		}
 	}
 }
 
+// auditEvery is how often the pools are gone through without a change of the members.
+const auditEvery = 5 * time.Second
+
 // handOver gives a pool's queue to its new dispatcher; reservations are claimed by the entry hosts themselves.
 func (p *part) handOver(t *core.Turn, pl *pool, to core.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(pl.upstreams)) {
@@ -434,6 +446,9 @@
 			delete(p.pools, id)
 		}
 	}
+	if core.Due(p.nextAudit, t.Now) {
+		p.audit(t)
+	}
 	p.repeatCancels(t)
 	if len(p.pools) > 0 || len(p.cancels) > 0 {
 		p.sweep = t.Now.Add(sweepEvery)
--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -30,8 +30,10 @@
 	leading bool
 	leader  core.HostID
 	epoch   core.Epoch
-	// since is when this host took over; leases of the leader before it may run for Time after that.
+	// since is when this host took over; leases of the leader before it may run for a while after that. hosts is how many
+	// there are, which bounds how long.
 	since   time.Time
+	hosts   int
 	tables  *core.Tables
 	changes []core.Change
 	pending core.Pending[waiting]
@@ -82,7 +84,8 @@
 }
 
 func (g *grantor) grant(t *core.Turn, w waiting) {
-	m := core.LeaseGrant{Ask: w.ask.Ask, Leader: g.self, Epoch: g.epoch, Version: g.tables.Version}
+	lease, renew := terms(max(g.hosts, len(g.holders)))
+	m := core.LeaseGrant{For: lease, Renew: renew, Ask: w.ask.Ask, Leader: g.self, Epoch: g.epoch, Version: g.tables.Version}
 	behind := g.tables.Version - w.ask.Have
 	switch {
 	case w.ask.Have > g.tables.Version:
@@ -92,13 +95,13 @@
 	default:
 		m.Tables = g.tables
 	}
-	g.holders[w.from] = held{version: w.ask.Have, until: t.Now.Add(Time)}
+	g.holders[w.from] = held{version: w.ask.Have, until: t.Now.Add(lease)}
 	t.Send(w.from, m)
 }
 
 // inForce returns the version that every host which may act on a lease has.
 func (g *grantor) inForce(now time.Time) core.Version {
-	if now.Sub(g.since) < Time {
+	if older, _ := terms(2 * g.hosts); now.Sub(g.since) < older {
 		return 0
 	}
 	v := g.tables.Version
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -7,12 +7,26 @@
 	"oleanderlever/core"
 )
 
-// Timing of configuration leases. A withdrawn key stops working on a host that is cut off after Time at the latest.
+// Timing of configuration leases. A withdrawn key stops working on a host that is cut off after Time at the latest, and
+// in a large group, where renewing so often would cost the leader too many bytes, after MaxTime.
 const (
-	Time  = 3 * time.Second
-	Renew = 500 * time.Millisecond
+	Time    = 3 * time.Second
+	MaxTime = 18 * time.Second
+	Renew   = 500 * time.Millisecond
 )
 
+// renewPerHost keeps the asks of a large group at one in so long; renewals is how many of them a lease spans.
+const (
+	renewPerHost = 15 * time.Millisecond
+	renewals     = 6
+)
+
+// terms returns how long leases are in a group of so many hosts, and how often they are renewed.
+func terms(hosts int) (lease, renew time.Duration) {
+	renew = min(MaxTime/4, max(Renew, time.Duration(hosts)*renewPerHost))
+	return min(MaxTime, renewals*renew), renew
+}
+
 // maxAsks bounds the unanswered asks that a host remembers; older ones could not extend the lease any more.
 const maxAsks = 16
 
@@ -40,11 +54,16 @@
 	asks    []asking
 	renew   time.Time
 	until   time.Time
-	tables  *core.Tables
+	// every is how often the leader wants to be asked.
+	every  time.Duration
+	tables *core.Tables
 }
 
 func (h *holder) ask(t *core.Turn) {
-	h.renew = t.Now.Add(Renew)
+	h.renew = t.Now.Add(max(Renew, h.every))
+	if len(h.asks) > 0 {
+		h.renew = t.Now.Add(Renew)
+	}
 	to := h.leader
 	if to == "" && len(h.keepers) > 0 {
 		to = h.keepers[h.turn%len(h.keepers)]
@@ -75,11 +94,13 @@
 		return
 	}
 	at := h.asks[i].at
+	h.every = m.Renew
+	h.renew = core.Earlier(h.renew, t.Now.Add(max(Renew, m.Renew)))
 	h.asks = slices.Delete(h.asks, 0, i+1)
 	if m.Version < h.tables.Version || !h.update(t, m) {
 		return
 	}
-	if until := at.Add(core.HolderTime(Time)); until.After(h.until) {
+	if until := at.Add(core.HolderTime(min(m.For, MaxTime))); until.After(h.until) {
 		h.until = until
 		t.Post(core.LeaseChanged{Until: until})
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -52,6 +52,8 @@
 		p.tick(t)
 	case core.LeaderChanged:
 		p.grantor.leaderChanged(t, e)
+	case core.MembersChanged:
+		p.grantor.hosts = len(e.Members)
 	case core.ConfigApplied:
 		p.grantor.applied(t, e)
 	case core.Confirmed:
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -14,10 +14,12 @@
 // Timing of membership. A dead host is noticed within about ProbeEvery times the number of hosts and SuspectTime, in
 // a group of n hosts that probe it n times as often as it takes one of them to come round.
 const (
-	ProbeEvery   = 500 * time.Millisecond
-	PongTimeout  = 200 * time.Millisecond
-	SuspectTime  = 2 * time.Second
-	SeedEvery    = 5 * time.Second
+	ProbeEvery  = 500 * time.Millisecond
+	PongTimeout = 200 * time.Millisecond
+	SuspectTime = 2 * time.Second
+	SeedEvery   = 5 * time.Second
+	// seedPerHost keeps the pings that all hosts together send to seeds at one in so long.
+	seedPerHost  = 100 * time.Millisecond
 	tombstoneFor = time.Minute
 )
 
@@ -93,6 +95,9 @@
 		limit: env.Limits.Hosts, seeds: env.Seeds, rand: env.Rand,
 		hosts: map[core.HostID]*known{}, relays: map[uint64]relay{},
 	}
+	if len(p.seeds) > 0 {
+		p.turn = p.rand.IntN(len(p.seeds))
+	}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
 }
 
@@ -308,7 +313,7 @@
 	if len(p.seeds) == 0 || (len(p.hosts) > 0 && !core.Due(p.seedAt, t.Now)) {
 		return
 	}
-	p.seedAt = t.Now.Add(SeedEvery)
+	p.seedAt = t.Now.Add(max(SeedEvery, time.Duration(len(p.hosts))*seedPerHost))
 	addr := p.seeds[p.turn%len(p.seeds)]
 	p.turn++
 	if addr != p.self.Addr {
--- a/core/message.go
+++ b/core/message.go
@@ -115,11 +115,14 @@
 	Have Version `cbor:"have"`
 }
 
-// LeaseGrant extends a host's lease by LeaseTime from when it asked, and brings it up to date.
+// LeaseGrant extends a host's lease by For from when it asked, and brings it up to date.
 type LeaseGrant struct {
-	Ask    uint64 `cbor:"ask"`
-	Leader HostID `cbor:"leader"`
-	Epoch  Epoch  `cbor:"epoch"`
+	For time.Duration `cbor:"for"`
+	// Renew is when the host should ask again.
+	Renew  time.Duration `cbor:"renew"`
+	Ask    uint64        `cbor:"ask"`
+	Leader HostID        `cbor:"leader"`
+	Epoch  Epoch         `cbor:"epoch"`
 	// Version is the one that must be in force for the lease to count.
 	Version Version `cbor:"version"`
 	// Changes lead from the version that the host has, unless Tables is set.
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -34,7 +34,7 @@
 	core.FormReply{Disk: "d", Formed: true},
 	core.Formed{Keepers: core.KeeperSet{Members: []core.Keeper{{Host: "h", Disk: "d", Voter: true}}}},
 	core.LeaseAsk{Ask: 1, Have: 2},
-	core.LeaseGrant{Ask: 1, Leader: "h", Version: 3, Changes: []core.Change{change}, Tables: &tables},
+	core.LeaseGrant{Ask: 1, For: time.Second, Renew: time.Second, Leader: "h", Version: 3, Changes: []core.Change{change}, Tables: &tables},
 	core.LeaseHint{Version: 3},
 	core.LeaseRedirect{Leader: "h"},
 	core.CommandAsk{Command: core.Command{ID: "c", Expect: 2, Change: change, At: at}},
