--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -1,164 +1,72 @@
 package host
 
 import (
+	"reflect"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"oleanderlever/core"
 )
 
-// The numbers of the message types. Append only: hosts of two releases exchange them.
-const (
-	typePing uint32 = iota + 1
-	typePong
-	typeVoteAsk
-	typeVoteReply
-	typeAppend
-	typeAppendReply
-	typeInstallSnapshot
-	typeFormAsk
-	typeFormReply
-	typeFormed
-	typeLeaseAsk
-	typeLeaseGrant
-	typeLeaseHint
-	typeLeaseRedirect
-	typeCommandAsk
-	typeCommandReply
-	typeStatusAsk
-	typeStatusReply
-	typeOnceAsk
-	typeOnceReply
-	typeQuotaAsk
-	typeQuotaGrant
-	typePlaceAsk
-	typePlaced
-	typePlaceRefused
-	typePlaceDone
-	typePlaceDoneReply
-	typeClaim
-	typeUpstreamNews
-	typeHolding
-	typeHoldingUnknown
-	typeOrderWanted
-	typeTakeOver
-	typeEnd
-)
+// wireType is a type of message with its number on the wire.
+type wireType struct {
+	number uint32
+	goType reflect.Type
+	decode func(body []byte) (core.Message, error)
+}
 
-// typeOf returns the number of a message's type, or zero for what is no message.
-func typeOf(m core.Message) uint32 {
-	switch m.(type) {
-	case core.Ping:
-		return typePing
-	case core.Pong:
-		return typePong
-	case core.VoteAsk:
-		return typeVoteAsk
-	case core.VoteReply:
-		return typeVoteReply
-	case core.Append:
-		return typeAppend
-	case core.AppendReply:
-		return typeAppendReply
-	case core.InstallSnapshot:
-		return typeInstallSnapshot
-	case core.FormAsk:
-		return typeFormAsk
-	case core.FormReply:
-		return typeFormReply
-	case core.Formed:
-		return typeFormed
-	case core.LeaseAsk:
-		return typeLeaseAsk
-	case core.LeaseGrant:
-		return typeLeaseGrant
-	case core.LeaseHint:
-		return typeLeaseHint
-	case core.LeaseRedirect:
-		return typeLeaseRedirect
-	}
-	return typeOfService(m)
+func wire[T any](number uint32) wireType {
+	return wireType{number: number, goType: reflect.TypeFor[T](), decode: decode[T]}
 }
 
-func typeOfService(m core.Message) uint32 {
-	switch m.(type) {
-	case core.CommandAsk:
-		return typeCommandAsk
-	case core.CommandReply:
-		return typeCommandReply
-	case core.StatusAsk:
-		return typeStatusAsk
-	case core.StatusReply:
-		return typeStatusReply
-	case core.OnceAsk:
-		return typeOnceAsk
-	case core.OnceReply:
-		return typeOnceReply
-	case core.QuotaAsk:
-		return typeQuotaAsk
-	case core.QuotaGrant:
-		return typeQuotaGrant
-	case core.PlaceAsk:
-		return typePlaceAsk
-	case core.Placed:
-		return typePlaced
-	case core.PlaceRefused:
-		return typePlaceRefused
-	case core.PlaceDone:
-		return typePlaceDone
-	case core.PlaceDoneReply:
-		return typePlaceDoneReply
-	case core.Claim:
-		return typeClaim
-	case core.UpstreamNews:
-		return typeUpstreamNews
-	case core.Holding:
-		return typeHolding
-	case core.HoldingUnknown:
-		return typeHoldingUnknown
-	case core.OrderWanted:
-		return typeOrderWanted
-	case core.TakeOver:
-		return typeTakeOver
-	}
-	return 0
+// wireTypes lists every type of message. Never change a number: hosts of two releases exchange them.
+var wireTypes = []wireType{
+	wire[core.Ping](1),
+	wire[core.Pong](2),
+	wire[core.VoteAsk](3),
+	wire[core.VoteReply](4),
+	wire[core.Append](5),
+	wire[core.AppendReply](6),
+	wire[core.InstallSnapshot](7),
+	wire[core.FormAsk](8),
+	wire[core.FormReply](9),
+	wire[core.Formed](10),
+	wire[core.LeaseAsk](11),
+	wire[core.LeaseGrant](12),
+	wire[core.LeaseHint](13),
+	wire[core.LeaseRedirect](14),
+	wire[core.CommandAsk](15),
+	wire[core.CommandReply](16),
+	wire[core.StatusAsk](17),
+	wire[core.StatusReply](18),
+	wire[core.OnceAsk](19),
+	wire[core.OnceReply](20),
+	wire[core.QuotaAsk](21),
+	wire[core.QuotaGrant](22),
+	wire[core.PlaceAsk](23),
+	wire[core.Placed](24),
+	wire[core.PlaceRefused](25),
+	wire[core.PlaceDone](26),
+	wire[core.PlaceDoneReply](27),
+	wire[core.Claim](28),
+	wire[core.UpstreamNews](29),
+	wire[core.Holding](30),
+	wire[core.HoldingUnknown](31),
+	wire[core.OrderWanted](32),
+	wire[core.TakeOver](33),
 }
 
-// decoders make a message of each type's CBOR.
-var decoders = [typeEnd]func([]byte) (core.Message, error){
-	typePing:            decode[core.Ping],
-	typePong:            decode[core.Pong],
-	typeVoteAsk:         decode[core.VoteAsk],
-	typeVoteReply:       decode[core.VoteReply],
-	typeAppend:          decode[core.Append],
-	typeAppendReply:     decode[core.AppendReply],
-	typeInstallSnapshot: decode[core.InstallSnapshot],
-	typeFormAsk:         decode[core.FormAsk],
-	typeFormReply:       decode[core.FormReply],
-	typeFormed:          decode[core.Formed],
-	typeLeaseAsk:        decode[core.LeaseAsk],
-	typeLeaseGrant:      decode[core.LeaseGrant],
-	typeLeaseHint:       decode[core.LeaseHint],
-	typeLeaseRedirect:   decode[core.LeaseRedirect],
-	typeCommandAsk:      decode[core.CommandAsk],
-	typeCommandReply:    decode[core.CommandReply],
-	typeStatusAsk:       decode[core.StatusAsk],
-	typeStatusReply:     decode[core.StatusReply],
-	typeOnceAsk:         decode[core.OnceAsk],
-	typeOnceReply:       decode[core.OnceReply],
-	typeQuotaAsk:        decode[core.QuotaAsk],
-	typeQuotaGrant:      decode[core.QuotaGrant],
-	typePlaceAsk:        decode[core.PlaceAsk],
-	typePlaced:          decode[core.Placed],
-	typePlaceRefused:    decode[core.PlaceRefused],
-	typePlaceDone:       decode[core.PlaceDone],
-	typePlaceDoneReply:  decode[core.PlaceDoneReply],
-	typeClaim:           decode[core.Claim],
-	typeUpstreamNews:    decode[core.UpstreamNews],
-	typeHolding:         decode[core.Holding],
-	typeHoldingUnknown:  decode[core.HoldingUnknown],
-	typeOrderWanted:     decode[core.OrderWanted],
-	typeTakeOver:        decode[core.TakeOver],
+var (
+	numbers  = map[reflect.Type]uint32{}
+	decoders = map[uint32]func(body []byte) (core.Message, error){}
+)
+
+func init() {
+	for _, w := range wireTypes {
+		numbers[w.goType] = w.number
+		decoders[w.number] = w.decode
+	}
 }
 
 var (
@@ -190,10 +98,13 @@
 	return m
 }
 
+// Types returns how many types of message there are.
+func Types() int { return len(wireTypes) }
+
 // Encode turns a message into an envelope.
 func Encode(m core.Message) (*Envelope, error) {
-	n := typeOf(m)
-	if n == 0 {
+	n, ok := numbers[reflect.TypeOf(m)]
+	if !ok {
 		return nil, errors.Newf("%T is no message", m)
 	}
 	body, err := encoder.Marshal(m)
@@ -205,10 +116,11 @@
 
 // Decode turns an envelope into a message that has checked itself; any fault in it is a KindBadRequest error.
 func Decode(e *Envelope) (core.Message, error) {
-	if e.GetType() >= typeEnd || decoders[e.GetType()] == nil {
+	decode, ok := decoders[e.GetType()]
+	if !ok {
 		return nil, core.Fail(core.KindBadRequest, "message type %d is not known", e.GetType())
 	}
-	return decoders[e.GetType()](e.GetBody())
+	return decode(e.GetBody())
 }
 
 func decode[T any](body []byte) (core.Message, error) {
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -60,6 +60,7 @@
 
 func TestMessagesComeBackAsTheyWere(t *testing.T) {
 	types := map[uint32]bool{}
+	require.Len(t, messages, host.Types(), "a type of message has no example here")
 	for _, m := range messages {
 		e, err := host.Encode(m)
 		require.NoError(t, err, "%T", m)
