io: TLS between hosts and towards operators by a private authority

Weighed against the shared secret alone: it hides nothing on the wire and can't tell hosts apart; certificates must be issued and renewed. Both are offered, and a listener beyond loopback needs one of them. Shown: three hosts with certificates form the log and serve operators over TLS; a caller with no certificate, or one of another authority, is refused in the handshake.

--- a/io/console/ctl.go
+++ b/io/console/ctl.go
@@ -13,6 +13,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/operator"
+	"oleanderlever/io/settings"
 )
 
 // ctlCommand has the operators' commands as its subcommands.
@@ -34,13 +35,20 @@
 type ctlFlags struct {
 	Addr    addrPort      `long:"addr" default:"127.0.0.1:7003" description:"operators' address of any host"`
 	Secret  string        `long:"secret" env:"OLEANDERLEVER_OPERATOR_SECRET"`
+	CA      string        `long:"authority" description:"PEM file of the hosts' authority, where they use TLS"`
 	JSON    bool          `long:"json" description:"print JSON"`
 	Wait    bool          `long:"wait" description:"wait until the change is in force on every host"`
 	Timeout time.Duration `long:"timeout" default:"30s"`
 	Expect  *uint64       `long:"expect" description:"refuse unless this is the version of the configuration"`
 }
 
-func (f *ctlFlags) client() *operator.Client { return operator.NewClient(f.Addr.AddrPort, f.Secret) }
+func (f *ctlFlags) client() (*operator.Client, error) {
+	if f.CA == "" {
+		return operator.NewClient(f.Addr.AddrPort, f.Secret), nil
+	}
+	authority, err := settings.Authority(f.CA)
+	return operator.NewTLSClient(f.Addr.AddrPort, f.Secret, authority), errors.Wrap(err, "--authority")
+}
 
 func (f *ctlFlags) context() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), f.Timeout)
@@ -50,7 +58,10 @@
 func (f *ctlFlags) apply(change *operator.Change) error {
 	ctx, cancel := f.context()
 	defer cancel()
-	c := f.client()
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
 	v, err := f.change(ctx, c, change)
 	if err != nil {
 		return err
@@ -217,7 +228,11 @@
 func (c *drainCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	return c.client().Drain(ctx)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	return client.Drain(ctx)
 }
 
 type statusCommand struct{ ctlFlags }
@@ -237,7 +252,11 @@
 func (f *ctlFlags) show(write func(io.Writer, *operator.StatusReply)) error {
 	ctx, cancel := f.context()
 	defer cancel()
-	s, err := f.client().Status(ctx)
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	s, err := c.Status(ctx)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/io/daemon/tls_test.go
@@ -0,0 +1,99 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/io/operator"
+	"oleanderlever/io/settings"
+)
+
+// authority signs certificates for the test's hosts.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	path string
+}
+
+func template(name string, serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+func writePEM(t *testing.T, folder, name, kind string, der []byte) string {
+	path := filepath.Join(folder, name)
+	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+func newAuthority(t *testing.T, folder string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := template("authority", 1)
+	c.IsCA, c.BasicConstraintsValid, c.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{cert: cert, key: key, path: writePEM(t, folder, "authority.pem", "CERTIFICATE", der)}
+}
+
+func (a *authority) issue(t *testing.T, folder, name string) settings.TLS {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, template(name, 2), a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	return settings.TLS{
+		Certificate: writePEM(t, folder, name+".pem", "CERTIFICATE", der),
+		Key:         writePEM(t, folder, name+"-key.pem", "EC PRIVATE KEY", private), Authority: a.path,
+	}
+}
+
+// Hosts with certificates of their authority work together; whoever has none, or one of another authority, is refused.
+func TestHostsProveThemselvesByCertificates(t *testing.T) {
+	folder := t.TempDir()
+	ours, theirs := newAuthority(t, folder), newAuthority(t, t.TempDir())
+	s := start(t, 3, t.TempDir(), func(h *settings.Host) { h.TLS = ours.issue(t, folder, h.Host) })
+	pool, err := settings.Authority(ours.path)
+	require.NoError(t, err)
+	s.ctl = operator.NewTLSClient(s.Settings[0].Listen.Operators, "", pool)
+	s.change(&operator.Change{Change: &operator.Change_PutAccount{PutAccount: &operator.Account{Id: "a", Weight: 1}}})
+	s.eventually(func() bool {
+		status, err := s.ctl.Status(context.Background())
+		return err == nil && len(status.GetHolders()) == 3 && len(status.GetKeepers()) == 3
+	})
+	stranger := theirs.issue(t, t.TempDir(), "stranger")
+	pair, err := tls.LoadX509KeyPair(stranger.Certificate, stranger.Key)
+	require.NoError(t, err)
+	for name, certs := range map[string][]tls.Certificate{"none": nil, "of another authority": {pair}} {
+		c := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, Certificates: certs}}, Timeout: patience}
+		url := "https://" + s.Settings[0].Listen.Hosts.String() + "/twirp/oleanderlever.host.v1.Host/Deliver"
+		resp, err := c.Post(url, "application/protobuf", bytes.NewReader(nil))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		require.Error(t, err, name)
+	}
+}
--- a/io/host/peer.go
+++ b/io/host/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"expvar"
 	"net"
 	"net/http"
@@ -34,7 +35,18 @@
 		return control.Instance{}, errors.Wrap(err, "listen.hosts")
 	}
 	secret := h.Settings.Credentials.HostSecret
-	t := newTransport(core.HostID(h.Settings.Host), secret, h.Log)
+	var secure *tls.Config
+	if h.Settings.TLS.IsSet() {
+		if secure, err = h.Settings.TLS.Client(); err != nil {
+			return control.Instance{}, err
+		}
+		server, err := h.Settings.TLS.Server(true)
+		if err != nil {
+			return control.Instance{}, err
+		}
+		l = tls.NewListener(l, server)
+	}
+	t := newTransport(core.HostID(h.Settings.Host), secret, secure, h.Log)
 	handler := http.MaxBytesHandler(NewHostServer(&server{loop: h.Loop}), maxBatchBytes)
 	s := &http.Server{Handler: bearer.Require(secret, handler), ReadHeaderTimeout: headerTimeout}
 	return control.Instance{
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -32,7 +33,9 @@
 type transport struct {
 	self   core.HostID
 	secret string
-	log    zerolog.Logger
+	// tls is nil where the hosts speak in the clear.
+	tls *tls.Config
+	log zerolog.Logger
 
 	mu    sync.Mutex
 	addrs map[core.HostID]netip.AddrPort
@@ -51,8 +54,11 @@
 	stop   chan struct{}
 }
 
-func newTransport(self core.HostID, secret string, log zerolog.Logger) *transport {
-	return &transport{self: self, secret: secret, log: log, addrs: map[core.HostID]netip.AddrPort{}, links: map[netip.AddrPort]*link{}}
+func newTransport(self core.HostID, secret string, secure *tls.Config, log zerolog.Logger) *transport {
+	return &transport{
+		self: self, secret: secret, tls: secure, log: log,
+		addrs: map[core.HostID]netip.AddrPort{}, links: map[netip.AddrPort]*link{},
+	}
 }
 
 // peersChanged takes the addresses of the hosts and closes links that lead nowhere any more.
@@ -93,10 +99,14 @@
 
 func (t *transport) dial(addr netip.AddrPort) *link {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	h := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleLink}
+	h := &http.Transport{TLSClientConfig: t.tls, DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleLink}
 	l := &link{t: t, addr: addr, http: h, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
 	client := &http.Client{Transport: &bearer.Transport{Base: h, Secret: t.secret}, Timeout: callTimeout}
-	l.client = NewHostProtobufClient("http://"+addr.String(), client)
+	scheme := "http://"
+	if t.tls != nil {
+		scheme = "https://"
+	}
+	l.client = NewHostProtobufClient(scheme+addr.String(), client)
 	t.open.Go(l.run)
 	return l
 }
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/base64"
 	"encoding/hex"
 	"net/http"
@@ -30,8 +32,18 @@
 
 // NewClient returns a client for the host at an address; the secret may be empty for one on loopback.
 func NewClient(addr netip.AddrPort, secret string) *Client {
-	h := &http.Client{Timeout: callTimeout, Transport: &bearer.Transport{Base: &http.Transport{}, Secret: secret}}
-	return &Client{rpc: NewOperatorProtobufClient("http://"+addr.String(), h)}
+	return newClient("http://"+addr.String(), &http.Transport{}, secret)
+}
+
+// NewTLSClient returns a client for a host that uses TLS, whose certificate is of a private authority.
+func NewTLSClient(addr netip.AddrPort, secret string, authority *x509.CertPool) *Client {
+	base := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authority}}
+	return newClient("https://"+addr.String(), base, secret)
+}
+
+func newClient(url string, base *http.Transport, secret string) *Client {
+	h := &http.Client{Timeout: callTimeout, Transport: &bearer.Transport{Base: base, Secret: secret}}
+	return &Client{rpc: NewOperatorProtobufClient(url, h)}
 }
 
 // Apply makes a change under a fresh command ID, against a version that the operator saw. A lost answer is asked for
--- a/io/operator/peer.go
+++ b/io/operator/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"net/http"
@@ -44,6 +45,13 @@
 	if err != nil {
 		return control.Instance{}, errors.Wrap(err, "listen.operators")
 	}
+	if h.Settings.TLS.IsSet() {
+		secure, err := h.Settings.TLS.Server(false)
+		if err != nil {
+			return control.Instance{}, err
+		}
+		l = tls.NewListener(l, secure)
+	}
 	s := &server{self: core.HostID(h.Settings.Host), loop: h.Loop, waiting: map[uint64]chan core.Action{}}
 	handler := http.MaxBytesHandler(NewOperatorServer(s), maxRequestBytes)
 	web := &http.Server{Handler: authenticate(h.Settings.Credentials.Operators, handler), ReadHeaderTimeout: headerTimeout}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -45,6 +45,7 @@
 	DataFolder  string      `toml:"dataFolder"`
 	Listen      Listen      `toml:"listen"`
 	Credentials Credentials `toml:"credentials"`
+	TLS         TLS         `toml:"tls"`
 	Requests    Requests    `toml:"requests"`
 	LogLevel    string      `toml:"logLevel"`
 }
@@ -178,7 +179,7 @@
 
 // checks return the name of a setting and what is wrong with it, or two empty texts.
 var checks = []func(h *Host) (name, problem string){
-	checkNames, checkRoles, checkKeepers, checkListen, checkExposed, checkCredentials, checkRequests,
+	checkNames, checkRoles, checkKeepers, checkListen, checkTLS, checkExposed, checkCredentials, checkRequests,
 }
 
 func checkNames(h *Host) (string, string) {
@@ -258,7 +259,7 @@
 func checkExposed(h *Host) (string, string) {
 	for _, l := range h.listeners() {
 		open := (l.name == "listen.upstreams" && h.Credentials.UpstreamSecret == "") ||
-			(l.name == "listen.hosts" && h.Credentials.HostSecret == "") ||
+			(l.name == "listen.hosts" && h.Credentials.HostSecret == "" && !h.TLS.IsSet()) ||
 			(l.name == "listen.operators" && len(h.Credentials.Operators) == 0) ||
 			l.name == "listen.metrics"
 		if open && l.addr.IsValid() && !l.addr.Addr().IsLoopback() {
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -35,7 +35,8 @@
 		{"keeper without role", "single.toml", `roles = ["entry", "keeper"]`, `roles = ["entry"]`, "line 7: dataFolder"},
 		{"keeper not listed", "single.toml", `keepers = ["host-1"]`, `keepers = ["host-2"]`, "line 5: keepers"},
 		{"unknown role", "single.toml", `roles = ["entry", "keeper"]`, `roles = ["exit"]`, "line 4: roles"},
-		{"short secret", "fleet.toml", `hostSecret = "replace-with-32-random-bytes"`, `hostSecret = "short"`, "line 17: credentials.hostSecret"},
+		{"short secret", "fleet.toml", `hostSecret = "replace-with-32-random-bytes"`, `hostSecret = "short"`, "line 23: credentials.hostSecret"},
+		{"half of tls", "single.toml", "[requests]", "[tls]\ncertificate = \"a\"\n\n[requests]", "tls.key"},
 		{"bad duration", "single.toml", `timeout = "60s"`, `timeout = "sixty"`, "line 19: requests.timeout"},
 		{"tiny body", "single.toml", "maxBodyBytes = 8388608", "maxBodyBytes = 5", "line 18: requests.maxBodyBytes"},
 	} {
