core/dispatch: engines change roles when demand shifts

Where a pool's policy allows it, the dispatcher asks the leader for a change of roles when one half has been busy over 85 % for 2 s and the other can do without an engine; the leader makes it an assignment, and a fenced, paced order carries it out.

--- a/core/check.go
+++ b/core/check.go
@@ -44,6 +44,8 @@
 		return m.Ask.check()
 	case UpstreamNews:
 		return m.check()
+	case ShiftWanted:
+		return m.Assignment.check()
 	case OrderWanted:
 		return m.Announcement.Check()
 	}
--- a/core/config.go
+++ b/core/config.go
@@ -61,6 +61,8 @@
 	ChecksSender bool `cbor:"checksSender" json:"checksSender"`
 	// ChecksFencing upstreams refuse an order with an old fencing number.
 	ChecksFencing bool `cbor:"checksFencing" json:"checksFencing"`
+	// AutoRoles lets the system change engines between prefill and decode when demand shifts.
+	AutoRoles bool `cbor:"autoRoles" json:"autoRoles"`
 	// Drained upstreams get no new work.
 	Drained []UpstreamID `cbor:"drained" json:"drained"`
 }
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -80,6 +80,8 @@
 		p.commandAsked(t, from, m.Command)
 	case core.CommandReply:
 		p.answer(t, m.Result)
+	case core.ShiftWanted:
+		p.shift(t, m.Assignment)
 	}
 }
 
@@ -136,6 +138,23 @@
 	return next
 }
 
+// autoOperator is who changed the configuration where the system did it by itself.
+const autoOperator = "oleanderlever"
+
+// shift makes the change that a dispatcher asks for. If an operator was faster it is refused and asked for again.
+func (p *part) shift(t *core.Turn, a core.Assignment) {
+	if !p.leading || !p.tables.Policy(a.Pool).AutoRoles {
+		return
+	}
+	if now, ok := p.tables.Assignment(a.Upstream); ok && now == a {
+		return
+	}
+	id := core.CommandID(fmt.Sprintf("shift-%s-%d", a.Upstream, p.tables.Version))
+	change := core.Change{Kind: core.ChangePutAssignment, Assignment: a}
+	c := core.Command{ID: id, Expect: p.tables.Version, Change: change, Operator: autoOperator, At: t.Now.UTC().Round(0)}
+	t.Post(core.Propose{Entry: core.Entry{Kind: core.EntryCommand, Command: c}})
+}
+
 // commandAsked answers a command that is decided already and puts a new one into the log.
 func (p *part) commandAsked(t *core.Turn, from core.HostID, c core.Command) {
 	if !p.leading {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -458,6 +458,7 @@
 func (p *part) sweepPool(t *core.Turn, pl *pool) {
 	pl.forget(t.Now)
 	pl.refreshAll(t.Now, p.tables.Policy(pl.id))
+	p.shiftRoles(t, pl)
 	if len(pl.upstreams) > 0 {
 		pl.empty = t.Now
 	}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -179,6 +179,45 @@
 	require.True(t, d.refused[attempt(1)].NotRun)
 }
 
+// morning keeps both prefill engines busy with long prompts and short answers, and returns the shifts asked for.
+func morning(auto bool, lasts time.Duration) []core.ShiftWanted {
+	d := newDesk(entryHost)
+	d.step(core.TablesChanged{Tables: &core.Tables{Policies: []core.UpstreamPolicy{{Pool: pool, AutoRoles: auto}}}})
+	d.step(core.LeaderKnown{Leader: "leader", Epoch: 1})
+	var out []core.ShiftWanted
+	n := 0
+	for end := d.now.Add(lasts); d.now.Before(end); n++ {
+		for i := range 5 {
+			role := core.RolePrefill
+			if i >= 2 {
+				role = core.RoleDecode
+			}
+			d.engine(core.UpstreamID(fmt.Sprint("u", i)), role, 20, 64, i+1)
+		}
+		d.ask(n, "a", 4000)
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.step(core.Received{From: "e", Message: core.PlaceDone{Attempt: attempt(n - 2), Pool: pool, PrefillOnly: true}})
+		for _, a := range d.step(core.Tick{}) {
+			if m, ok := a.(core.SendMessage); ok {
+				if s, ok := m.Message.(core.ShiftWanted); ok {
+					out = append(out, s)
+				}
+			}
+		}
+		d.done(n - 3)
+	}
+	return out
+}
+
+// Demand that shifts changes roles only where the pool's policy allows it, and only once it has lasted.
+func TestRolesShiftWithDemand(t *testing.T) {
+	require.Empty(t, morning(false, 20*time.Second))
+	require.Empty(t, morning(true, 2*time.Second))
+	shifts := morning(true, 10*time.Second)
+	require.Len(t, shifts, 1, "one engine stays at least, and a pause follows each change")
+	require.Equal(t, core.RolePrefill, shifts[0].Assignment.Role)
+}
+
 // Pools that any upstream may name are bounded and do not stay.
 func TestPoolsAreBoundedAndForgotten(t *testing.T) {
 	d := newDesk(entryHost)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -33,6 +33,7 @@
 	// lateRuns is the late attempt that was placed last.
 	lateRuns core.AttemptID
 	pace     pace
+	load     load
 	held     map[core.AttemptID]*held
 	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
 	answering  ordered.Heap[*upstream]
--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -133,6 +133,7 @@
 	}
 	e.fakes.speak(core.UpstreamAnnounced{Announcement: core.Announcement{
 		ID: e.ID, Pool: e.Pool, Role: e.Role, Addr: fakeAddr(e.number, 1), Incarnation: e.incarnation, Slots: e.Slots, Pieces: e.Pieces,
+		ChecksFencing: true,
 	}})
 	e.seq++
 	r := core.Report{ID: e.ID, Pool: e.Pool, Incarnation: e.incarnation, Seq: e.seq, Attempts: e.Held(), Stored: e.stored, Evicted: e.evicted}
@@ -390,6 +391,23 @@
 	e.fakes.run.After(e.TokenTime*time.Duration(max(1, left)), func() { e.last(again, a.Attempt) })
 }
 
+// order gives an engine another role after OrderTime; what it is doing goes on.
+func (f *Fakes) order(h *Host, a core.SendOrder) {
+	e := f.engineAt(a.Upstream)
+	life := h.life
+	f.run.After(f.OrderTime, func() {
+		ended := core.OrderEnded{Upstream: a.Order.Assignment.Upstream, Epoch: a.Order.Epoch}
+		if e == nil || !e.Up {
+			ended.Failure = unreachable()
+		} else {
+			e.Role = a.Order.Assignment.Role
+		}
+		if h.Up && h.life == life {
+			f.run.Post(h, ended)
+		}
+	})
+}
+
 // cancel frees what an engine holds for an attempt and confirms it.
 func (f *Fakes) cancel(h *Host, a core.CancelAttempt) {
 	e := f.engineAt(a.Upstream)
--- a/core/harness/fakes.go
+++ b/core/harness/fakes.go
@@ -55,6 +55,8 @@
 	Services  []*Service
 	// Hop is the time from a host to an upstream.
 	Hop time.Duration
+	// OrderTime is how long an engine takes to carry out an order.
+	OrderTime time.Duration
 	// Runs counts the calls that ran at plain services, by content.
 	Runs map[string]int
 	// Decisions, if set, sees every decision.
@@ -68,7 +70,7 @@
 
 // NewFakes returns fakes for a run and takes its actions.
 func NewFakes(r *Run) *Fakes {
-	f := &Fakes{run: r, Exchanges: map[core.RequestID]*Exchange{}, Runs: map[string]int{}, Hop: time.Millisecond}
+	f := &Fakes{run: r, Exchanges: map[core.RequestID]*Exchange{}, Runs: map[string]int{}, Hop: time.Millisecond, OrderTime: 2 * time.Second}
 	r.OnAction = f.Act
 	return f
 }
@@ -130,6 +132,8 @@
 		f.call(f.Exchanges[a.Attempt.Request], a)
 	case core.CancelAttempt:
 		f.cancel(h, a)
+	case core.SendOrder:
+		f.order(h, a)
 	case core.Finish:
 		f.finish(f.Exchanges[a.Request])
 	case core.GiveStored:
--- a/core/message.go
+++ b/core/message.go
@@ -290,6 +290,11 @@
 	Announcement Announcement `cbor:"announcement"`
 }
 
+// ShiftWanted asks the leader to give an engine another role, because demand has shifted.
+type ShiftWanted struct {
+	Assignment Assignment `cbor:"assignment"`
+}
+
 // Holding tells a dispatcher now and then which attempts of a pool an entry host has, so that what was lost on the way
 // is found on both sides.
 type Holding struct {
--- a/core/replay/run.go
+++ b/core/replay/run.go
@@ -86,6 +86,7 @@
 func (r *runner) configure() {
 	const timeout = 10 * time.Second
 	changes := []core.Change{
+		{Kind: core.ChangePutPolicy, Policy: core.UpstreamPolicy{Pool: modelPool, ChecksFencing: true, AutoRoles: true}},
 		{Kind: core.ChangePutModel, Model: core.Model{ID: modelPool, MaxOutput: maxAnswer}},
 		{Kind: core.ChangePutRoute, Route: core.Route{Name: "orders", Path: "/orders", Pool: servicePool, Timeout: timeout}},
 		{Kind: core.ChangePutRoute, Route: core.Route{Name: "menu", Path: "/menu", Pool: servicePool, Timeout: timeout, Repeatable: true}},
--- a/io/console/ctl.go
+++ b/io/console/ctl.go
@@ -194,12 +194,13 @@
 	Pool          string   `long:"pool" required:"true"`
 	ChecksSender  bool     `long:"checks-sender"`
 	ChecksFencing bool     `long:"checks-fencing"`
+	AutoRoles     bool     `long:"auto-roles" description:"change engines between prefill and decode when demand shifts"`
 	Drained       []string `long:"drained" description:"upstream that gets no new work; may be repeated"`
 }
 
 // Execute sets a pool's upstream policy.
 func (c *policyCommand) Execute([]string) error {
-	p := &operator.UpstreamPolicy{Pool: c.Pool, ChecksSender: c.ChecksSender, ChecksFencing: c.ChecksFencing, Drained: c.Drained}
+	p := &operator.UpstreamPolicy{Pool: c.Pool, ChecksSender: c.ChecksSender, ChecksFencing: c.ChecksFencing, AutoRoles: c.AutoRoles, Drained: c.Drained}
 	return c.apply(&operator.Change{Change: &operator.Change_PutPolicy{PutPolicy: p}})
 }
 
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -55,6 +55,7 @@
 	wire[core.HoldingUnknown](31),
 	wire[core.OrderWanted](32),
 	wire[core.TakeOver](33),
+	wire[core.ShiftWanted](34),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -55,6 +55,7 @@
 	core.Holding{Pool: "p", Attempts: []core.AttemptID{ask.Attempt}},
 	core.HoldingUnknown{Attempts: []core.AttemptID{ask.Attempt}},
 	core.TakeOver{Epoch: 3},
+	core.ShiftWanted{Assignment: core.Assignment{Upstream: "u", Pool: "p", Role: core.RolePrefill}},
 	core.OrderWanted{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
 }
 
--- a/io/operator/convert.go
+++ b/io/operator/convert.go
@@ -74,7 +74,7 @@
 }
 
 func toPolicy(p *UpstreamPolicy) core.UpstreamPolicy {
-	out := core.UpstreamPolicy{Pool: core.PoolID(p.GetPool()), ChecksSender: p.GetChecksSender(), ChecksFencing: p.GetChecksFencing()}
+	out := core.UpstreamPolicy{Pool: core.PoolID(p.GetPool()), ChecksSender: p.GetChecksSender(), ChecksFencing: p.GetChecksFencing(), AutoRoles: p.GetAutoRoles()}
 	for _, id := range p.GetDrained() {
 		out.Drained = append(out.Drained, core.UpstreamID(id))
 	}
@@ -155,7 +155,9 @@
 		})
 	}
 	for _, p := range t.Policies {
-		out := &UpstreamPolicy{Pool: string(p.Pool), ChecksSender: p.ChecksSender, ChecksFencing: p.ChecksFencing}
+		out := &UpstreamPolicy{
+			Pool: string(p.Pool), ChecksSender: p.ChecksSender, ChecksFencing: p.ChecksFencing, AutoRoles: p.AutoRoles,
+		}
 		for _, id := range p.Drained {
 			out.Drained = append(out.Drained, string(id))
 		}
