--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -24,18 +22,6 @@
 	maxPools = 1024
 )
 
-// cancelKey names one cancel at one upstream.
-type cancelKey struct {
-	attempt core.AttemptID
-	addr    netip.AddrPort
-}
-
-// cancel is a cancel that the engine has not confirmed.
-type cancel struct {
-	resend time.Time
-	till   time.Time
-}
-
 type part struct {
 	self    core.HostID
 	limits  core.Limits
@@ -154,238 +140,6 @@
 	}
 }
 
-// shortFirst is how many times its prefill an attempt may be passed by later ones of its own account: a short prompt
-// costs the long one little, and the other way round it costs the short one its target.
-const shortFirst = 5
-
-func (p *part) asked(t *core.Turn, from core.HostID, m core.PlaceAsk) {
-	pl := p.pool(t, m.Pool)
-	if h := pl.held[m.Attempt]; h != nil {
-		t.Send(from, h.placed)
-		return
-	}
-	if pl.fresh.has(m.Attempt) || pl.late.has(m.Attempt) {
-		return
-	}
-	if pl.waiting() >= p.limits.Requests {
-		t.Send(from, core.PlaceRefused{Attempt: m.Attempt, Failure: *core.Fail(core.KindOverloaded, "the queue of %s is full", m.Pool)})
-		return
-	}
-	w := &waiting{ask: m, from: from, arrived: t.Now.Add(-m.Waited), queued: t.Now, deadline: t.Now.Add(m.Left)}
-	w.rank = w.arrived.Add(shortFirst * pl.pace.backlog(m.Prompt))
-	pl.fresh.push(w)
-	p.serve(t, pl)
-}
-
-// serve places attempts until none finds room.
-func (p *part) serve(t *core.Turn, pl *pool) {
-	for p.placeNext(t, pl) {
-	}
-}
-
-const (
-	// maxPassed is how many attempts may be passed over because they need more memory than is free anywhere.
-	maxPassed = 8
-	// passedFor is how long an attempt may be passed over; after that memory is left to gather for it.
-	passedFor = time.Second
-	// lateEvery is how many placements go by before a late attempt is placed although fresh ones wait.
-	lateEvery = 40
-)
-
-// placeNext places one attempt: of those that can still meet the target for the first token the next in fairness, and
-// late ones in what is left. Under overload the capacity so goes to answers that count. Late attempts keep one
-// placement in lateEvery, so none starves; refusing them was rejected, since a late answer is worth more than none.
-func (p *part) placeNext(t *core.Turn, pl *pool) bool {
-	pl.demote(t.Now)
-	if pl.sinceLate >= lateEvery && pl.late.size() > 0 && p.placeFrom(t, pl, &pl.late) {
-		return true
-	}
-	return p.placeFrom(t, pl, &pl.fresh) || (pl.idle(t.Now) && p.placeFrom(t, pl, &pl.late))
-}
-
-// placeFrom places the first attempt of a queue that finds room.
-func (p *part) placeFrom(t *core.Turn, pl *pool, q *fairQueue) bool {
-	var next *waiting
-	var h *held
-	var c choice
-	passed := 0
-	q.heads(func(w *waiting) bool {
-		var v verdict
-		h, c, v = pl.place(w, t.Now, p.epoch)
-		if v == verdictPlaced {
-			next = w
-			return false
-		}
-		passed++
-		return v == verdictNoMemory && passed < maxPassed && t.Now.Sub(w.queued) < passedFor
-	})
-	if next == nil {
-		return false
-	}
-	q.pop(next)
-	pl.sinceLate++
-	if q == &pl.late {
-		pl.sinceLate = 0
-		pl.lateRuns = h.ask.Attempt
-	}
-	t.Decide(decision(h, c, t.Now.Sub(next.queued)))
-	t.Send(next.from, h.placed)
-	return true
-}
-
-func decision(h *held, c choice, waited time.Duration) core.Decision {
-	target := string(h.placed.Decode)
-	if h.placed.Prefill != "" {
-		target = string(h.placed.Prefill) + ">" + target
-	}
-	return core.Decision{
-		Part: "dispatch", Choice: "place", Reason: "lowest score after " + waited.Round(time.Microsecond).String() + " in the queue",
-		Request: h.ask.Attempt.Request, Attempt: h.ask.Attempt.Number, Account: h.ask.Account, Pool: h.ask.Pool,
-		Target: target, Score: c.score, Others: c.others,
-	}
-}
-
-// unknownFor is how long an entry host may be missing from the member table because it has only just started.
-const unknownFor = 5 * time.Second
-
-// isGone reports whether the start of the entry host that has an attempt is over. A later start than the one in the
-// member table is only news that has not come here yet.
-func (p *part) isGone(h *held, now time.Time) bool {
-	boot := p.bootOf(h.from)
-	if boot == 0 {
-		return now.Sub(h.since) >= unknownFor
-	}
-	return boot > h.ask.Boot
-}
-
-func (p *part) bootOf(h core.HostID) uint64 {
-	i, ok := slices.BinarySearchFunc(p.members, h, func(m core.Member, h core.HostID) int { return cmp.Compare(m.Host, h) })
-	if !ok {
-		return 0
-	}
-	return p.members[i].Boot
-}
-
-// claimed takes over what another dispatcher had placed.
-func (p *part) claimed(t *core.Turn, from core.HostID, m core.Claim) {
-	pl := p.pool(t, m.Ask.Pool)
-	if pl.held[m.Ask.Attempt] != nil {
-		return
-	}
-	h := &held{ask: m.Ask, from: from, placed: m.Placed}
-	if !m.Ask.Service {
-		h.pieces = core.Pieces(m.Ask.Prompt + m.Ask.Output)
-	}
-	if !m.Decoding && m.Placed.Prefill != "" {
-		h.prefill = m.Ask.Prompt
-	}
-	pl.reserve(h, t.Now)
-}
-
-func (p *part) done(t *core.Turn, from core.HostID, m core.PlaceDone) {
-	t.Send(from, core.PlaceDoneReply{Attempt: m.Attempt, PrefillOnly: m.PrefillOnly})
-	pl := p.pools[m.Pool]
-	if pl == nil {
-		return
-	}
-	h := pl.held[m.Attempt]
-	if h == nil {
-		pl.fresh.remove(m.Attempt)
-		pl.late.remove(m.Attempt)
-		return
-	}
-	if u := pl.upstreams[m.Failed]; u != nil {
-		u.failed(t.Now)
-		pl.refresh(u, t.Now, p.tables.Policy(pl.id))
-		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
-	}
-	if m.PrefillOnly {
-		pl.prefilled(h, t.Now)
-		pl.releasePrefill(h, t.Now)
-		p.succeeded(pl, h.placed.Prefill)
-		p.serve(t, pl)
-		return
-	}
-	if m.First > 0 {
-		pl.pace.started(m.First)
-	}
-	if m.Failed == "" && !m.Cancel {
-		p.succeeded(pl, h.placed.Decode)
-	}
-	p.end(t, pl, h, m.Cancel)
-	p.serve(t, pl)
-}
-
-const (
-	// missedMost is how many lists in a row may lack an attempt before its place is freed, missedAfter how old it must be.
-	missedMost  = 2
-	missedAfter = 5 * time.Second
-)
-
-// holding frees places that the entry host does not have any more, and asks for claims of those unknown here.
-func (p *part) holding(t *core.Turn, from core.HostID, m core.Holding) {
-	pl := p.pool(t, m.Pool)
-	named := map[core.AttemptID]bool{}
-	var unknown []core.AttemptID
-	for _, a := range m.Attempts {
-		named[a] = true
-		if pl.held[a] == nil {
-			unknown = append(unknown, a)
-		}
-	}
-	for _, a := range sortedAttempts(pl.held) {
-		h := pl.held[a]
-		if h.from != from {
-			continue
-		}
-		h.missed++
-		if named[a] {
-			h.missed = 0
-		}
-		if h.missed >= missedMost && t.Now.Sub(h.since) >= missedAfter {
-			p.end(t, pl, h, true)
-		}
-	}
-	if len(unknown) > 0 {
-		t.Send(from, core.HoldingUnknown{Attempts: unknown})
-	}
-	p.serve(t, pl)
-}
-
-func (p *part) succeeded(pl *pool, id core.UpstreamID) {
-	if u := pl.upstreams[id]; u != nil {
-		u.succeeded()
-	}
-}
-
-// end frees what the ledger holds for an attempt and, where an engine may hold something too, cancels it there.
-func (p *part) end(t *core.Turn, pl *pool, h *held, withCancel bool) {
-	pl.release(h, t.Now)
-	if !withCancel || h.ask.Service {
-		return
-	}
-	p.cancel(t, h.ask.Attempt, h.placed.DecodeAddr)
-	if h.placed.PrefillAddr != h.placed.DecodeAddr {
-		p.cancel(t, h.ask.Attempt, h.placed.PrefillAddr)
-	}
-}
-
-func (p *part) cancel(t *core.Turn, a core.AttemptID, addr netip.AddrPort) {
-	k := cancelKey{attempt: a, addr: addr}
-	if p.cancels[k] != nil {
-		return
-	}
-	p.cancels[k] = &cancel{resend: t.Now.Add(cancelEvery), till: t.Now.Add(cancelFor)}
-	t.Do(core.CancelAttempt{Attempt: a, Upstream: addr})
-	p.wake(t)
-}
-
-func (p *part) cancelEnded(e core.CancelEnded) {
-	if e.OK {
-		delete(p.cancels, cancelKey{attempt: e.Attempt, addr: e.Upstream})
-	}
-}
-
 // membersChanged cancels the attempts of hosts that are gone or were started anew, and drops the pools that another
 // host dispatches now once nothing of them is left here.
 func (p *part) membersChanged(t *core.Turn, e core.MembersChanged) {
@@ -424,17 +178,6 @@
 	delete(p.pools, pl.id)
 }
 
-func sortedAttempts(m map[core.AttemptID]*held) []core.AttemptID {
-	return slices.SortedFunc(maps.Keys(m), compareAttempts)
-}
-
-func compareAttempts(a, b core.AttemptID) int {
-	if c := cmp.Compare(a.Request, b.Request); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Number, b.Number)
-}
-
 func (p *part) tick(t *core.Turn) {
 	if !core.Due(p.sweep, t.Now) {
 		return
@@ -474,26 +217,6 @@
 	p.serve(t, pl)
 }
 
-func (p *part) repeatCancels(t *core.Turn) {
-	for k, c := range p.cancels {
-		if core.Due(c.till, t.Now) {
-			delete(p.cancels, k)
-		}
-	}
-	keys := slices.SortedFunc(maps.Keys(p.cancels), func(a, b cancelKey) int {
-		if c := compareAttempts(a.attempt, b.attempt); c != 0 {
-			return c
-		}
-		return a.addr.Compare(b.addr)
-	})
-	for _, k := range keys {
-		if c := p.cancels[k]; core.Due(c.resend, t.Now) {
-			c.resend = t.Now.Add(cancelEvery)
-			t.Do(core.CancelAttempt{Attempt: k.attempt, Upstream: k.addr})
-		}
-	}
-}
-
 func (p *part) gauges(set func(string, int64)) {
 	var queued, heldCount, upstreams int
 	for _, pl := range p.pools {
