core/entry: a stalled caller is no fault of the engine

Found by reading: where a caller took nothing for 30 s its connection was closed, the relay ended with 'cancelled', and if that came before the news that the caller was gone, the request was tried again and the engine blamed. Now it ends there. TestStalledCallerIsNotTheEnginesFault was red before (two asks for a place). A prefill that does not answer is given up after 10 s in place of 30.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -323,7 +323,8 @@
 // attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
 func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
 	blame := failed
-	if f.Kind == core.KindBadRequest || f.Kind == core.KindUpstreamRefused {
+	switch f.Kind {
+	case core.KindBadRequest, core.KindUpstreamRefused, core.KindCancelled:
 		blame = ""
 	}
 	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame})
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -350,3 +350,46 @@
 		require.Nil(t, x.Failure, "%s", x.ID)
 	}
 }
+
+// A caller that takes nothing any more is no fault of the engine, and its request is not tried again.
+func TestStalledCallerIsNotTheEnginesFault(t *testing.T) {
+	var asks []core.PlaceAsk
+	var dones []core.PlaceDone
+	watch := core.Plugin{Name: "watch", Rank: 99, New: func(core.Env) core.Part {
+		return core.Part{Handle: func(_ *core.Turn, ev core.Event) {
+			if r, ok := ev.(core.Received); ok {
+				switch m := r.Message.(type) {
+				case core.PlaceAsk:
+					asks = append(asks, m)
+				case core.PlaceDone:
+					dones = append(dones, m)
+				}
+			}
+		}}
+	}}
+	k := core.New(core.Env{Self: "h", Boot: 1, Limits: core.DefaultLimits()}, entry.Plugin(false), watch)
+	tables, err := (&core.Tables{}).Apply(&core.Change{Kind: core.ChangePutAccount, Account: core.Account{ID: "a", Weight: 1}})
+	require.NoError(t, err)
+	tables, err = tables.Apply(&core.Change{Kind: core.ChangePutModel, Model: core.Model{ID: model, MaxOutput: 10}})
+	require.NoError(t, err)
+	tables, err = tables.Apply(&core.Change{Kind: core.ChangeAddKey, Key: core.Key{ID: "k", Account: "a", Hash: core.KeyHash{1}}})
+	require.NoError(t, err)
+	now := harness.Start
+	a := core.AttemptID{Request: "r", Number: 1}
+	request := core.Request{ID: "r", Key: core.KeyHash{1}, HasKey: true, Model: model, Prompt: 5, Deadline: now.Add(time.Minute)}
+	var last []core.Action
+	for _, ev := range []core.Event{
+		core.TablesChanged{Tables: tables}, core.LeaseChanged{Until: now.Add(time.Minute)},
+		core.MembersChanged{Members: []core.Member{{Host: "h", Boot: 1}}},
+		core.RequestArrived{Request: request}, core.QuotaTaken{Request: "r"},
+		core.Received{From: "h", Message: core.Placed{Attempt: a, Pool: model, Prefill: "p", Decode: "d"}},
+		core.PrefillEnded{Attempt: a, Prompt: 5},
+		core.DecodeEnded{Attempt: a, Relayed: 3, Failure: core.Fail(core.KindCancelled, "the caller takes nothing")},
+	} {
+		last = k.Step(now, ev)
+	}
+	require.Len(t, asks, 1)
+	require.True(t, dones[len(dones)-1].Cancel)
+	require.Empty(t, dones[len(dones)-1].Failed)
+	require.Contains(t, fmt.Sprintf("%T", last[len(last)-1]), "Refuse")
+}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -23,7 +23,7 @@
 	maxAttempts = 4
 	// maxResumes bounds how often a stream is resumed at the same engine.
 	maxResumes     = 2
-	prefillTimeout = 30 * time.Second
+	prefillTimeout = 10 * time.Second
 	tokenSilence   = 2 * time.Second
 	placeResend    = 300 * time.Millisecond
 )
@@ -84,7 +84,7 @@
 
 // mayRetry reports whether a failed attempt may be followed by another one.
 func (r *request) mayRetry(f *core.Failure) bool {
-	if r.gone || r.ask.Attempt.Number >= maxAttempts || f.Kind == core.KindBadRequest {
+	if r.gone || r.ask.Attempt.Number >= maxAttempts || f.Kind == core.KindBadRequest || f.Kind == core.KindCancelled {
 		return false
 	}
 	if !r.service || r.route.Repeatable {
