--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -230,7 +230,7 @@
 	}
 }
 
-// engineChaos kills an engine now and then, or cuts its connections.
+// engineChaos kills an engine now and then, cuts its connections, or lets it fall silent.
 func (w *world) engineChaos(n int) {
 	e := w.Engines[w.Rand.IntN(len(w.Engines))]
 	switch {
@@ -239,6 +239,9 @@
 		w.After(3*time.Second, e.Revive)
 	case n%40 == 5:
 		e.CutStreams()
+	case n%40 == 30:
+		e.Stall()
+		w.After(time.Duration(1+w.Rand.IntN(8))*time.Second, e.Unstall)
 	}
 }
 
@@ -379,9 +382,11 @@
 	request := core.Request{ID: "r", Key: core.KeyHash{1}, HasKey: true, Model: model, Prompt: 5, Deadline: now.Add(time.Minute)}
 	var last []core.Action
 	for _, ev := range []core.Event{
-		core.TablesChanged{Tables: tables}, core.LeaseChanged{Until: now.Add(time.Minute)},
+		core.TablesChanged{Tables: tables},
+		core.LeaseChanged{Until: now.Add(time.Minute)},
 		core.MembersChanged{Members: []core.Member{{Host: "h", Boot: 1}}},
-		core.RequestArrived{Request: request}, core.QuotaTaken{Request: "r"},
+		core.RequestArrived{Request: request},
+		core.QuotaTaken{Request: "r"},
 		core.Received{From: "h", Message: core.Placed{Attempt: a, Pool: model, Prefill: "p", Decode: "d"}},
 		core.PrefillEnded{Attempt: a, Prompt: 5},
 		core.DecodeEnded{Attempt: a, Relayed: 3, Failure: core.Fail(core.KindCancelled, "the caller takes nothing")},
--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -38,6 +38,8 @@
 	Up bool
 	// Mute engines neither announce nor report.
 	Mute bool
+	// Stalled engines keep their connections and answer nothing; Stall and Unstall change it.
+	Stalled bool
 	// Opened counts the streams that were started.
 	Opened int
 	// Prefilled and Wasted count prompt tokens that were computed, and those whose result nobody used.
@@ -102,9 +104,29 @@
 	}
 }
 
+// Stall lets an engine fall silent: its streams stop where they are, and what it is asked is not answered.
+func (e *Engine) Stall() {
+	e.Stalled = true
+	for _, a := range e.sortedStreams() {
+		s := e.streams[a]
+		if s.ended {
+			continue
+		}
+		s.ended = true
+		s.x.Relayed = max(s.x.Relayed, s.base+e.made(s))
+		e.fakes.run.After(stallNotice, func() { e.fakes.ended(s.x, a, broken(), true) })
+	}
+}
+
+// Unstall lets a stalled engine answer again.
+func (e *Engine) Unstall() { e.Stalled = false }
+
+// stallNotice is how long the traffic side waits for the next token.
+const stallNotice = 2 * time.Second
+
 // Revive starts an engine anew.
 func (e *Engine) Revive() {
-	e.Up = true
+	e.Up, e.Stalled = true, false
 	e.incarnation++
 	e.seq = 0
 	e.pieces = 0
@@ -128,7 +150,7 @@
 
 func (e *Engine) heartbeat() {
 	e.fakes.run.After(announceEvery, e.heartbeat)
-	if !e.Up || e.Mute {
+	if !e.Up || e.Mute || e.Stalled {
 		return
 	}
 	e.fakes.speak(core.UpstreamAnnounced{Announcement: core.Announcement{
@@ -182,6 +204,10 @@
 			return
 		}
 		x.Ran++
+		if e.Stalled {
+			f.after(x, a.Timeout, func() { f.post(x, core.PrefillEnded{Attempt: a.Attempt, Failure: broken()}) })
+			return
+		}
 		e.prefill(x, a)
 	})
 }
@@ -252,6 +278,10 @@
 			f.ended(x, a.Attempt, unreachable(), false)
 			return
 		}
+		if e.Stalled {
+			f.run.After(a.Silence, func() { f.ended(x, a.Attempt, broken(), true) })
+			return
+		}
 		if a.Resume {
 			e.resume(x, a)
 			return
@@ -413,7 +443,7 @@
 	e := f.engineAt(a.Upstream)
 	life := h.life
 	f.run.After(f.Hop, func() {
-		if e == nil || !e.Up {
+		if e == nil || !e.Up || e.Stalled {
 			f.confirm(h, life, a, false)
 			return
 		}
