core/entry: a dispatcher that knows no upstream yet refuses nobody who can still wait

Cause: a dispatcher that has just taken over, or was cut off, has an empty table for up to the next announcements, and its refusal was final. Ruled out: the engines, which announced to other hosts all the time.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -238,6 +238,9 @@
 	if r == nil || r.attemptID() != m.Attempt || r.stage != stagePlace {
 		return
 	}
+	if m.Failure.Kind == core.KindNoUpstream && t.Now.Sub(r.arrived) < noUpstreamWait {
+		return
+	}
 	f := m.Failure
 	f.NotRun = !r.ran
 	p.refuse(t, r, &f)
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -319,6 +319,33 @@
 	w.checkAnswered(1)
 }
 
+// A dispatcher that knows no upstream yet refuses nobody who can still wait; a pool without any is told so in the end.
+func TestNoUpstreamYetIsNoRefusal(t *testing.T) {
+	w := newWorld(t, net(1, 4))
+	w.engines(1, 1)
+	for _, e := range w.Engines {
+		e.Mute = true
+	}
+	w.RunFor(40 * time.Second)
+	early := w.ask(w.Hosts[3], 10)
+	w.RunFor(4 * time.Second)
+	require.Zero(t, early.Answers)
+	for _, e := range w.Engines {
+		e.Mute = false
+	}
+	w.RunFor(3 * time.Second)
+	require.Equal(t, 1, early.Answers)
+	require.Nil(t, early.Failure)
+	for _, e := range w.Engines {
+		e.Mute = true
+	}
+	w.RunFor(40 * time.Second)
+	late := w.ask(w.Hosts[3], 10)
+	w.RunFor(10 * time.Second)
+	require.Equal(t, core.KindNoUpstream, late.Failure.Kind)
+	require.True(t, late.Failure.NotRun)
+}
+
 // "A graceful shutdown cuts no request."
 func TestDrain(t *testing.T) {
 	w := newWorld(t, net(1, 4))
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -26,6 +26,9 @@
 	prefillTimeout = 10 * time.Second
 	tokenSilence   = 2 * time.Second
 	placeResend    = 300 * time.Millisecond
+	// noUpstreamWait is how long a request asks again although the dispatcher knows no upstream: a new dispatcher hears of
+	// them only with their next announcements, and one that was cut off of none.
+	noUpstreamWait = 6 * time.Second
 )
 
 // request is a caller's request on its way.
