--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -127,26 +127,55 @@
 	})
 }
 
-// BenchmarkRelay streams long answers through one host on 48 connections and reports tokens a second; the stand-in, the
-// host and the callers share the machine.
+// BenchmarkRelay streams long answers on 48 connections and reports tokens a second, from the stand-in alone and through
+// one host; stand-in, host and callers share the machine.
 func BenchmarkRelay(b *testing.B) {
 	const tokens, streams = 2000, 48
-	f, _, _, key := fastSystem(b, tokens)
-	b.ResetTimer()
-	for range b.N {
-		var all sync.WaitGroup
-		for range streams {
-			all.Go(func() {
-				c := &caller.Client{Addr: f.Settings[0].Listen.Callers, Key: key, Timeout: patience}
-				st, err := c.Stream("/v1/chat/completions", body("relay", true), nil)
-				if err != nil || st.Tokens != tokens {
-					b.Errorf("%d tokens: %v %+v", st.Tokens, err, st.Answer)
-				}
-			})
+	f, e, _, key := fastSystem(b, tokens)
+	run := func(b *testing.B, stream func(n int) (int, error)) {
+		b.ResetTimer()
+		for i := range b.N {
+			var all sync.WaitGroup
+			for n := range streams {
+				all.Go(func() {
+					if got, err := stream(i*streams + n); err != nil || got != tokens {
+						b.Errorf("%d tokens: %v", got, err)
+					}
+				})
+			}
+			all.Wait()
 		}
-		all.Wait()
+		b.ReportMetric(float64(b.N*tokens*streams)/b.Elapsed().Seconds(), "tokens/s")
+	}
+	b.Run("direct", func(b *testing.B) { run(b, func(n int) (int, error) { return direct(e, b.N*1_000_000+n, tokens) }) })
+	b.Run("host", func(b *testing.B) {
+		run(b, func(int) (int, error) {
+			c := &caller.Client{Addr: f.Settings[0].Listen.Callers, Key: key, Timeout: patience}
+			st, err := c.Stream("/v1/chat/completions", body("relay", true), nil)
+			return st.Tokens, err
+		})
+	})
+}
+
+// direct reads one stream from the stand-in itself.
+func direct(e *engine.Engine, n int, most core.Tokens) (int, error) {
+	c := upstream.NewClient("")
+	a := core.AttemptID{Request: "relay", Number: n}
+	p, f := c.Prefill(e.Addr(), &upstream.PrefillRequest{Attempt: a.String(), Body: body("relay", true)}, patience)
+	if f != nil {
+		return 0, f
+	}
+	got := 0
+	end := c.Decode(e.Addr(), &upstream.DecodeRequest{
+		Attempt: a.String(), KVFrom: e.Addr(), KVHandle: p.Handle, Body: body("relay", true), Max: most,
+	}, patience, func(string) error {
+		got++
+		return nil
+	})
+	if end.Failure != nil {
+		return got, end.Failure
 	}
-	b.ReportMetric(float64(b.N*tokens*streams)/b.Elapsed().Seconds(), "tokens/s")
+	return got, nil
 }
 
 // BenchmarkCommit measures an operator's change until it is on the disks of a majority.
