core, io: one piece for what stood twice; dead state removed

Read once more as a whole.

- Prefill, Cancel, Order and Announcer.post each acquired, posted and waited in their own words, and the announcer encoded its body twice: Client.send serves all.
- Attempts were compared in two places: core.AttemptID.Compare.
- An account's tokens at hand were looked up or made in three places: holder.account.
- A caller that is gone while it waits goes the way of stopWaiting.
- The fair queue put an element back into a lane to take the lane out of its heap; it takes the lane out first now.
- Never read: five copies of the host's own name, Request.Caller (worked out for each request), PlaceDone.Output, PrefillEnded.Cached, DecodeEnded.Prompt and a counter.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -26,7 +26,6 @@
 }
 
 type part struct {
-	self    core.HostID
 	limit   int
 	leader  core.HostID
 	leading bool
@@ -46,7 +45,7 @@
 
 func newPart(env core.Env) core.Part {
 	p := &part{
-		self: env.Self, limit: env.Limits.Commands, tables: &core.Tables{},
+		limit: env.Limits.Commands, tables: &core.Tables{},
 		results: map[core.CommandID]core.CommandResult{},
 		waiters: map[core.CommandID][]core.HostID{},
 		asked:   map[core.CommandID]*asked{},
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -44,7 +44,7 @@
 		}
 	}
 	keys := slices.SortedFunc(maps.Keys(p.cancels), func(a, b cancelKey) int {
-		if c := compareAttempts(a.attempt, b.attempt); c != 0 {
+		if c := a.attempt.Compare(b.attempt); c != 0 {
 			return c
 		}
 		return a.addr.Compare(b.addr)
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -135,12 +135,5 @@
 }
 
 func sortedAttempts(m map[core.AttemptID]*held) []core.AttemptID {
-	return slices.SortedFunc(maps.Keys(m), compareAttempts)
-}
-
-func compareAttempts(a, b core.AttemptID) int {
-	if c := cmp.Compare(a.Request, b.Request); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Number, b.Number)
+	return slices.SortedFunc(maps.Keys(m), core.AttemptID.Compare)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -140,14 +140,14 @@
 	}
 }
 
-// membersChanged cancels the attempts of hosts that are gone or were started anew, and drops the pools that another
-// host dispatches now once nothing of them is left here.
+// membersChanged goes through the pools at once.
 func (p *part) membersChanged(t *core.Turn, e core.MembersChanged) {
 	p.members = e.Members
 	p.audit(t)
 }
 
-// audit goes through the pools when the members change, and now and then: an ask that comes late from a host with
+// audit cancels the attempts of hosts that are gone or were started anew, and drops the pools that another host
+// dispatches now. It runs when the members change, and now and then: an ask that comes late from a host with
 // another view of the members may have made a pool here that nobody else would end.
 func (p *part) audit(t *core.Turn) {
 	p.nextAudit = t.Now.Add(auditEvery)
@@ -169,7 +169,7 @@
 // auditEvery is how often the pools are gone through without a change of the members.
 const auditEvery = 5 * time.Second
 
-// handOver gives a pool's queue to its new dispatcher; reservations are claimed by the entry hosts themselves.
+// handOver tells a pool's new dispatcher of the upstreams; entry hosts ask it again and claim their reservations.
 func (p *part) handOver(t *core.Turn, pl *pool, to core.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(pl.upstreams)) {
 		a := pl.upstreams[id].Announcement
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -44,7 +44,7 @@
 // backlog estimates how long an engine takes for the tokens that it has.
 func (p *pace) backlog(tokens core.Tokens) time.Duration { return time.Duration(tokens) * p.perToken }
 
-// fresh reports whether an attempt can still meet the target for the first token if it is placed at once.
+// isFresh reports whether an attempt can still meet the target for the first token if it is placed at once.
 func (p *pool) isFresh(w *waiting, now time.Time) bool {
 	if w.ask.Urgent || w.ask.Service {
 		return true
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -101,15 +101,15 @@
 func (q *fairQueue) drop(w *waiting) {
 	l := q.where[w.ask.Attempt]
 	delete(q.where, w.ask.Attempt)
-	head := l.list[0] == w
-	l.list = slices.DeleteFunc(l.list, func(o *waiting) bool { return o == w })
-	switch {
-	case len(l.list) == 0:
-		l.list = []*waiting{w}
+	if len(l.list) == 1 {
 		q.busy.Remove(l)
 		l.list = nil
 		q.forget(l)
-	case head:
+		return
+	}
+	head := l.list[0] == w
+	l.list = slices.DeleteFunc(l.list, func(o *waiting) bool { return o == w })
+	if head {
 		q.busy.Fix(l)
 	}
 }
@@ -167,7 +167,7 @@
 		if d := a.arrived.Compare(b.arrived); d != 0 {
 			return d
 		}
-		return compareAttempts(a.ask.Attempt, b.ask.Attempt)
+		return a.ask.Attempt.Compare(b.ask.Attempt)
 	})
 	return out
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -15,7 +15,6 @@
 // part drives the requests of one entry host. Each request is a small state machine; only this part gives the
 // traffic side its next step, so a request can't be answered twice or run on two paths.
 type part struct {
-	self     core.HostID
 	boot     uint64
 	limit    int
 	tables   *core.Tables
@@ -45,7 +44,7 @@
 	empty := &core.Tables{}
 	empty.Index()
 	p := &part{
-		self: env.Self, boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty,
+		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty,
 		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, listed: map[core.PoolID]int{},
 	}
 	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
@@ -281,7 +280,7 @@
 	}
 	r.relayed = e.Relayed
 	if e.Failure == nil {
-		p.sendDone(t, r, core.PlaceDone{Output: r.relayed, First: r.first})
+		p.sendDone(t, r, core.PlaceDone{First: r.first})
 		p.finish(t, r)
 		return
 	}
@@ -410,12 +409,8 @@
 	r.gone = true
 	gone := core.Fail(core.KindCancelled, "the caller is gone")
 	switch r.stage {
-	case stageQuota:
-		t.Post(core.QuotaForget{Request: id, Account: r.account.ID})
-		p.refuse(t, r, gone)
-	case stagePlace:
-		p.sendDone(t, r, core.PlaceDone{})
-		p.refuse(t, r, gone)
+	case stageQuota, stagePlace:
+		p.stopWaiting(t, r, gone)
 	case stagePrefill, stageDecode:
 		r.ran = true
 		p.sendDone(t, r, core.PlaceDone{Cancel: true})
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -80,7 +79,8 @@
 // listEvery is how often the dispatchers are told which attempts this host has.
 const listEvery = 5 * time.Second
 
-// sendLists tells each pool's dispatcher which attempts of it this host has; one with none is told once more.
+// sendLists tells each pool's dispatcher which attempts of it this host has; one with none is told so a
+// few times more.
 func (p *part) sendLists(t *core.Turn) {
 	lists := map[core.PoolID][]core.AttemptID{}
 	for pool := range p.listed {
@@ -112,10 +112,7 @@
 
 func sortedDones(m map[doneKey]*pendingDone) []doneKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b doneKey) int {
-		if c := cmp.Compare(a.attempt.Request, b.attempt.Request); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(a.attempt.Number, b.attempt.Number); c != 0 {
+		if c := a.attempt.Compare(b.attempt); c != 0 {
 			return c
 		}
 		if a.prefillOnly == b.prefillOnly {
--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -293,7 +293,7 @@
 // ended reports the end of a stream to the core after the way back.
 func (f *Fakes) ended(x *Exchange, a core.AttemptID, failure *core.Failure, isBroken bool) {
 	f.after(x, f.Hop, func() {
-		f.post(x, core.DecodeEnded{Attempt: a, Relayed: x.Relayed, Prompt: x.Spec.Prompt, Failure: failure, Broken: isBroken})
+		f.post(x, core.DecodeEnded{Attempt: a, Relayed: x.Relayed, Failure: failure, Broken: isBroken})
 	})
 }
 
--- a/core/ids.go
+++ b/core/ids.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,14 @@
 // String returns the attempt as "request/number", the form in which upstreams echo it.
 func (a AttemptID) String() string { return fmt.Sprintf("%s/%d", a.Request, a.Number) }
 
+// Compare orders attempts by request, then by number.
+func (a AttemptID) Compare(b AttemptID) int {
+	if c := cmp.Compare(a.Request, b.Request); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Number, b.Number)
+}
+
 // maxNameBytes bounds every name that comes from outside.
 const maxNameBytes = 128
 
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -45,7 +45,6 @@
 // the ask that it still leads. So no two clocks are compared, and a leader that was cut off can't extend a lease.
 // Pushing each change to all hosts and waiting for their answers was rejected: one silent host would hold up a change.
 type holder struct {
-	self    core.HostID
 	keepers []core.HostID
 	turn    int
 	leader  core.HostID
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -37,7 +37,7 @@
 	empty := &core.Tables{}
 	empty.Index()
 	p := &part{
-		holder:  holder{self: env.Self, keepers: env.Keepers, tables: empty, next: env.Rand.Uint64() >> 1},
+		holder:  holder{keepers: env.Keepers, tables: empty, next: env.Rand.Uint64() >> 1},
 		grantor: grantor{self: env.Self, tables: empty, holders: map[core.HostID]held{}, pending: core.Pending[waiting]{Mark: core.MarkLease}},
 		status:  map[uint64]*statusAsk{},
 	}
--- a/core/message.go
+++ b/core/message.go
@@ -265,8 +265,6 @@
 	Cancel bool `cbor:"cancel"`
 	// Failed names the upstream that failed the attempt, or is empty.
 	Failed UpstreamID `cbor:"failed"`
-	// Output is what the attempt generated.
-	Output Tokens `cbor:"output"`
 	// First is the time from the prefill's end to the first token, or zero where there was none.
 	First time.Duration `cbor:"first"`
 }
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -59,7 +59,6 @@
 
 // holder spends borrowed amounts for the requests of one host.
 type holder struct {
-	self     core.HostID
 	boot     uint64
 	leader   core.HostID
 	epoch    core.Epoch
@@ -90,11 +89,7 @@
 		h.deny(t, e.Request, core.Fail(core.KindOverRate, "the request takes %d tokens, the burst is %d", e.Cost, limit.Burst))
 		return
 	}
-	a := h.accounts[e.Account]
-	if a == nil {
-		a = &account{used: t.Now}
-		h.accounts[e.Account] = a
-	}
+	a := h.account(t, e.Account)
 	if len(a.waiters) >= maxWaiting {
 		h.deny(t, e.Request, core.Fail(core.KindOverRate, "too many requests of the client account wait"))
 		return
@@ -111,6 +106,16 @@
 	}
 }
 
+// account returns what the host holds of an account's tokens, from now on if it held nothing.
+func (h *holder) account(t *core.Turn, id core.AccountID) *account {
+	a := h.accounts[id]
+	if a == nil {
+		a = &account{used: t.Now}
+		h.accounts[id] = a
+	}
+	return a
+}
+
 // askFor asks for one account at once.
 func (h *holder) askFor(t *core.Turn, id core.AccountID, a *account) {
 	if line, ok := a.line(t.Now, id, h.epoch); ok && h.leader != "" {
@@ -273,12 +278,7 @@
 		h.newEpoch(m.Epoch)
 	}
 	for _, l := range m.Lines {
-		a := h.accounts[l.Account]
-		if a == nil {
-			a = &account{used: t.Now}
-			h.accounts[l.Account] = a
-		}
-		h.lent(t, a, at, l)
+		h.lent(t, h.account(t, l.Account), at, l)
 	}
 	if h.next.IsZero() && len(h.accounts) > 0 {
 		h.next = t.Now.Add(askEvery)
@@ -329,12 +329,7 @@
 
 // back credits what an answer did not use.
 func (h *holder) back(t *core.Turn, e core.QuotaBack) {
-	a := h.accounts[e.Account]
-	if a == nil {
-		a = &account{used: t.Now}
-		h.accounts[e.Account] = a
-	}
-	a.refund += e.Amount
+	h.account(t, e.Account).refund += e.Amount
 	if h.next.IsZero() {
 		h.next = t.Now.Add(askEvery)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -24,7 +24,7 @@
 	empty := &core.Tables{}
 	p := &part{
 		holder: holder{
-			self: env.Self, boot: env.Boot, tables: empty,
+			boot: env.Boot, tables: empty,
 			accounts: map[core.AccountID]*account{}, asks: map[uint64]time.Time{},
 		},
 		owner: owner{relend: relend, tables: empty, pending: core.Pending[ownerAsk]{Mark: core.MarkQuota}},
--- a/core/request.go
+++ b/core/request.go
@@ -7,8 +7,7 @@
 
 // Request is what the core needs to know of a caller's request; the body stays with the traffic side.
 type Request struct {
-	ID     RequestID
-	Caller netip.AddrPort
+	ID RequestID
 	// Key is the hash of the key that came with the request; HasKey is false where none came.
 	Key    KeyHash
 	HasKey bool
@@ -57,7 +56,6 @@
 	Attempt AttemptID
 	KV      KVRef
 	Prompt  Tokens
-	Cached  Tokens
 	Failure *Failure
 }
 
@@ -68,7 +66,6 @@
 type DecodeEnded struct {
 	Attempt AttemptID
 	Relayed Tokens
-	Prompt  Tokens
 	Failure *Failure
 	// Broken is true where the connection was lost and the engine may still hold the stream.
 	Broken bool
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -75,7 +75,7 @@
 	reply, f := x.client.Prefill(a.Upstream, q, a.Timeout)
 	x.loop.Post(core.PrefillEnded{
 		Attempt: a.Attempt, KV: core.KVRef{From: a.Upstream, Handle: reply.Handle},
-		Prompt: reply.Prompt, Cached: reply.Cached, Failure: f,
+		Prompt: reply.Prompt, Failure: f,
 	})
 }
 
@@ -98,7 +98,7 @@
 	if x.prompt == 0 {
 		x.prompt = end.Prompt
 	}
-	x.loop.Post(core.DecodeEnded{Attempt: a.Attempt, Relayed: x.count, Prompt: end.Prompt, Failure: end.Failure, Broken: end.Broken})
+	x.loop.Post(core.DecodeEnded{Attempt: a.Attempt, Relayed: x.count, Failure: end.Failure, Broken: end.Broken})
 }
 
 // token relays one token to the caller, or keeps it for a whole answer. The text is kept in either case: an engine that
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,9 +103,6 @@
 	if hasKey {
 		r.Key = hashKey(key)
 	}
-	if addr, ok := ctx.RemoteAddr().(*net.TCPAddr); ok {
-		r.Caller = netip.AddrPortFrom(addr.AddrPort().Addr().Unmap(), addr.AddrPort().Port())
-	}
 	body, f := s.readBody(ctx)
 	return r, body, key, f
 }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -61,16 +61,15 @@
 	config Config
 	server *webServer
 
-	mu       sync.Mutex
-	faults   Faults
-	kvs      map[string]*kv
-	streams  map[string]*stream
-	pieces   int
-	busy     time.Time
-	cache    map[uint64]time.Time
-	stored   []uint64
-	evicted  []uint64
-	prefills int64
+	mu      sync.Mutex
+	faults  Faults
+	kvs     map[string]*kv
+	streams map[string]*stream
+	pieces  int
+	busy    time.Time
+	cache   map[uint64]time.Time
+	stored  []uint64
+	evicted []uint64
 	// generated counts tokens, computed counts prompt tokens that were not in the cache.
 	generated int64
 	wasted    int64
@@ -186,7 +185,6 @@
 		e.busy = now
 	}
 	e.computed += int64(p.tokens() - cached)
-	e.prefills++
 	e.busy = e.busy.Add(time.Duration(p.tokens()-cached) * e.config.PrefillPerToken)
 	return cached, e.busy
 }
--- a/io/upstream/announcer.go
+++ b/io/upstream/announcer.go
@@ -1,12 +1,10 @@
 package upstream
 
 import (
-	"encoding/json"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"oleanderlever/core"
@@ -94,29 +92,10 @@
 // tell tries each host once, the one that answered last first.
 func (a *Announcer) tell(path string, body any) {
 	for range a.Hosts {
-		if a.post(a.Hosts[a.turn%len(a.Hosts)], path, body) == nil {
+		answer, f := a.client.send(a.Hosts[a.turn%len(a.Hosts)], path, body, reportTimeout)
+		if f == nil && answer.status == fasthttp.StatusNoContent {
 			return
 		}
 		a.turn++
 	}
 }
-
-func (a *Announcer) post(addr netip.AddrPort, path string, body any) error {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return errors.Wrap(err, "encode")
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := a.client.post(req, addr, path, json.RawMessage(text)); err != nil {
-		return err
-	}
-	if err := a.client.host(clientKey{addr: addr}).DoTimeout(req, resp, reportTimeout); err != nil {
-		return errors.Wrap(err, "announce")
-	}
-	if resp.StatusCode() != fasthttp.StatusNoContent {
-		return errors.Newf("the host answered status %d", resp.StatusCode())
-	}
-	return nil
-}
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/netip"
@@ -54,54 +55,55 @@
 	return &core.Failure{Kind: kind, Message: r.Message, NotRun: r.NotRun}
 }
 
-// Prefill asks an engine for the KV cache of a prompt.
-func (c *Client) Prefill(addr netip.AddrPort, q *PrefillRequest, timeout time.Duration) (PrefillReply, *core.Failure) {
+// answer is an upstream's whole answer.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// send posts a JSON body and takes the whole answer.
+func (c *Client) send(addr netip.AddrPort, path string, body any, timeout time.Duration) (answer, *core.Failure) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	var reply PrefillReply
-	if err := c.post(req, addr, PathPrefill, q); err != nil {
-		return reply, core.FailureOf(err)
+	if err := c.post(req, addr, path, body); err != nil {
+		return answer{}, core.FailureOf(err)
 	}
 	if err := c.host(clientKey{addr: addr}).DoTimeout(req, resp, timeout); err != nil {
-		return reply, failed(err)
+		return answer{}, failed(err)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return reply, refused(resp.StatusCode(), resp.Body())
+	return answer{status: resp.StatusCode(), body: bytes.Clone(resp.Body())}, nil
+}
+
+// Prefill asks an engine for the KV cache of a prompt.
+func (c *Client) Prefill(addr netip.AddrPort, q *PrefillRequest, timeout time.Duration) (PrefillReply, *core.Failure) {
+	var reply PrefillReply
+	a, f := c.send(addr, PathPrefill, q, timeout)
+	if f != nil {
+		return reply, f
+	}
+	if a.status != fasthttp.StatusOK {
+		return reply, refused(a.status, a.body)
 	}
-	if err := json.Unmarshal(resp.Body(), &reply); err != nil || reply.Attempt != q.Attempt || reply.Prompt < 0 {
+	if err := json.Unmarshal(a.body, &reply); err != nil || reply.Attempt != q.Attempt || reply.Prompt < 0 {
 		return reply, core.Fail(core.KindUpstreamFailed, "the engine's answer is not for attempt %s", q.Attempt)
 	}
 	return reply, nil
 }
 
 // Cancel asks an engine to free an attempt and reports whether the engine confirmed it.
-func (c *Client) Cancel(addr netip.AddrPort, a core.AttemptID) bool {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.post(req, addr, PathCancel, &CancelRequest{Attempt: a.String()}); err != nil {
-		return false
-	}
-	err := c.host(clientKey{addr: addr}).DoTimeout(req, resp, cancelTimeout)
-	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+func (c *Client) Cancel(addr netip.AddrPort, id core.AttemptID) bool {
+	a, f := c.send(addr, PathCancel, &CancelRequest{Attempt: id.String()}, cancelTimeout)
+	return f == nil && a.status == fasthttp.StatusOK
 }
 
 // Order sends an order to an engine and waits until it is carried out.
 func (c *Client) Order(addr netip.AddrPort, o core.Order, timeout time.Duration) *core.Failure {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.post(req, addr, PathOrder, &OrderRequest{Epoch: o.Epoch, Assignment: o.Assignment}); err != nil {
-		return core.FailureOf(err)
-	}
-	if err := c.host(clientKey{addr: addr}).DoTimeout(req, resp, timeout); err != nil {
-		return failed(err)
+	a, f := c.send(addr, PathOrder, &OrderRequest{Epoch: o.Epoch, Assignment: o.Assignment}, timeout)
+	if f == nil && a.status != fasthttp.StatusOK {
+		f = refused(a.status, a.body)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return refused(resp.StatusCode(), resp.Body())
-	}
-	return nil
+	return f
 }
 
 // DecodeEnd is how a decode's stream ended.
