--- a/core/check.go
+++ b/core/check.go
@@ -46,6 +46,8 @@
 		return m.check()
 	case ShiftWanted:
 		return m.Assignment.check()
+	case UpstreamList:
+		return m.check()
 	case OrderWanted:
 		return m.Announcement.Check()
 	}
@@ -125,3 +127,15 @@
 	}
 	return Fail(KindBadRequest, "upstream news: empty")
 }
+
+func (m *UpstreamList) check() error {
+	for i := range m.Heard {
+		if err := m.Heard[i].Announcement.Check(); err != nil {
+			return err
+		}
+		if m.Heard[i].Age < 0 || m.Heard[i].Age > maxSpan {
+			return Fail(KindBadRequest, "upstream list: age out of range")
+		}
+	}
+	return nil
+}
--- a/core/config.go
+++ b/core/config.go
@@ -19,6 +19,14 @@
 	Rate Tokens `cbor:"rate" json:"rate"`
 	// Burst is the most tokens that the account may use at once.
 	Burst Tokens `cbor:"burst" json:"burst"`
+	// Unlimited accounts have neither rate nor burst.
+	Unlimited bool `cbor:"unlimited" json:"unlimited"`
+	// CallCost is what a call without a token count takes from the bucket, in place of its route's cost.
+	CallCost Tokens `cbor:"callCost" json:"callCost"`
+	// ByCall accounts pay CallCost for every request, however many tokens it names.
+	ByCall bool `cbor:"byCall" json:"byCall"`
+	// Priority ranks the account's requests before those of higher numbers, if it is set; it goes before the route's.
+	Priority *int `cbor:"priority,omitempty" json:"priority,omitempty"`
 }
 
 // Key lets its holder act as a client account.
@@ -31,9 +39,13 @@
 // Route sends calls below a path to a pool of plain services.
 type Route struct {
 	Name string `cbor:"name" json:"name"`
+	// Host is the name under which callers reach the route; empty means any.
+	Host string `cbor:"host,omitempty" json:"host,omitempty"`
 	// Path is the prefix that the route answers for, such as "/orders".
 	Path string `cbor:"path" json:"path"`
 	Pool PoolID `cbor:"pool" json:"pool"`
+	// Shares divide the route's requests between pools, in place of Pool.
+	Shares []Share `cbor:"shares,omitempty" json:"shares,omitempty"`
 	// Open routes need no key.
 	Open bool `cbor:"open" json:"open"`
 	// Repeatable calls may be tried again; the others run at most once.
@@ -43,6 +55,49 @@
 	// Cost is what one call takes from the account's token bucket.
 	Cost    Tokens        `cbor:"cost"    json:"cost"`
 	Timeout time.Duration `cbor:"timeout" json:"timeout"`
+	// Whole routes count Timeout from the request's arrival to the end of its answer, over all attempts.
+	Whole bool `cbor:"whole,omitempty" json:"whole,omitempty"`
+	// Attempts is how many upstreams one request may be sent to; zero means the host's default.
+	Attempts int `cbor:"attempts,omitempty" json:"attempts,omitempty"`
+	// Stream routes answer with numbered events that are relayed as they come.
+	Stream bool `cbor:"stream,omitempty" json:"stream,omitempty"`
+	// Resumable streams may go on at another upstream after the last event that the caller has.
+	Resumable bool `cbor:"resumable,omitempty" json:"resumable,omitempty"`
+	// Target is the time to the answer, or a stream's first event, that the route aims at; zero means none.
+	Target time.Duration `cbor:"target,omitempty" json:"target,omitempty"`
+	// Gap is the longest pause between a stream's events that the route aims at.
+	Gap time.Duration `cbor:"gap,omitempty" json:"gap,omitempty"`
+	// Priority ranks requests before those of higher numbers.
+	Priority int `cbor:"priority,omitempty" json:"priority,omitempty"`
+}
+
+// Share is a pool's part of a route's requests.
+type Share struct {
+	Pool   PoolID `cbor:"pool"   json:"pool"`
+	Weight int    `cbor:"weight" json:"weight"`
+}
+
+// shares returns the pools of a route with their weights.
+func (r *Route) shares() []Share {
+	if len(r.Shares) == 0 {
+		return []Share{{Pool: r.Pool, Weight: 1}}
+	}
+	return r.Shares
+}
+
+// PickPool returns the pool for a request; the point is from 0 to 1, drawn evenly.
+func (r *Route) PickPool(point float64) PoolID {
+	shares, sum := r.shares(), 0
+	for _, s := range shares {
+		sum += s.Weight
+	}
+	left := int(point * float64(sum))
+	for _, s := range shares {
+		if left -= s.Weight; left < 0 {
+			return s.Pool
+		}
+	}
+	return shares[0].Pool
 }
 
 // Model is a model that callers may name; its pool has the same name.
@@ -99,6 +154,8 @@
 	ChangePutPolicy
 	ChangePutAssignment
 	ChangeDeleteAssignment
+	// ChangeReplace replaces the whole configuration, if the document's revision is higher than the one in force.
+	ChangeReplace
 )
 
 var changeNames = map[ChangeKind]string{
@@ -107,6 +164,7 @@
 	ChangePutRoute: "putRoute", ChangeDeleteRoute: "deleteRoute",
 	ChangePutModel: "putModel", ChangeDeleteModel: "deleteModel",
 	ChangePutPolicy: "putPolicy", ChangePutAssignment: "putAssignment", ChangeDeleteAssignment: "deleteAssignment",
+	ChangeReplace: "replace",
 }
 
 // String returns the kind's name in own formats.
@@ -122,10 +180,12 @@
 	Policy  UpstreamPolicy `cbor:"policy,omitzero"   json:"policy,omitzero"`
 	// Assignment is what an engine should be.
 	Assignment Assignment `cbor:"assignment,omitzero" json:"assignment,omitzero"`
+	Document   *Document  `cbor:"document,omitempty"  json:"-"`
 }
 
 const (
 	maxWeight       = 1000
+	maxShare        = 1 << 20
 	maxTokenRate    = Tokens(1e9)
 	maxRouteTimeout = 10 * time.Minute
 	maxListed       = 10_000
@@ -156,6 +216,11 @@
 		return c.Assignment.check()
 	case ChangeDeleteAssignment:
 		return CheckName("assignment.upstream", string(c.Assignment.Upstream))
+	case ChangeReplace:
+		if c.Document == nil {
+			return Fail(KindBadRequest, "change: the document is missing")
+		}
+		return c.Document.Check()
 	}
 	return Fail(KindBadRequest, "change: kind %d is not known", c.Kind)
 }
@@ -167,6 +232,9 @@
 	if a.Weight < 1 || a.Weight > maxWeight {
 		return Fail(KindBadRequest, "account.weight: want 1 to %d, have %d", maxWeight, a.Weight)
 	}
+	if a.CallCost < 0 || a.CallCost > maxTokenRate {
+		return Fail(KindBadRequest, "account.callCost: must be 0 to %d tokens", maxTokenRate)
+	}
 	if a.Rate < 0 || a.Rate > maxTokenRate || a.Burst < 0 || a.Burst > maxTokenRate {
 		return Fail(KindBadRequest, "account: rate and burst must be 0 to %d tokens", maxTokenRate)
 	}
@@ -190,16 +258,36 @@
 	if err := CheckName("route.path", r.Path); err != nil {
 		return err
 	}
-	if !strings.HasPrefix(r.Path, "/") || strings.HasPrefix(r.Path, "/v1/") {
+	if !strings.HasPrefix(r.Path, "/") || (r.Host == "" && strings.HasPrefix(r.Path, "/v1/")) {
 		return Fail(KindBadRequest, "route.path: want a path from / outside /v1/, have %q", r.Path)
 	}
+	if r.Attempts < 0 || r.Target < 0 || r.Gap < 0 {
+		return Fail(KindBadRequest, "route %s: attempts or targets below zero", r.Name)
+	}
 	if r.Timeout <= 0 || r.Timeout > maxRouteTimeout {
 		return Fail(KindBadRequest, "route.timeout: want up to %v, have %v", maxRouteTimeout, r.Timeout)
 	}
 	if r.Cost < 0 || r.Cost > maxTokenRate || len(r.Accounts) > maxListed {
 		return Fail(KindBadRequest, "route: cost or list of accounts out of range")
 	}
-	return CheckName("route.pool", string(r.Pool))
+	return r.checkShares()
+}
+
+func (r *Route) checkShares() error {
+	sum := 0
+	for _, s := range r.shares() {
+		if err := CheckName("route.pool", string(s.Pool)); err != nil {
+			return err
+		}
+		if s.Weight < 0 || s.Weight > maxShare {
+			return Fail(KindBadRequest, "route %s: a weight must be 0 to %d", r.Name, maxShare)
+		}
+		sum += s.Weight
+	}
+	if sum == 0 {
+		return Fail(KindBadRequest, "route %s: the weights add up to 0", r.Name)
+	}
+	return nil
 }
 
 func (m *Model) check() error {
@@ -239,6 +327,11 @@
 	Policies []UpstreamPolicy `cbor:"policies" json:"policies"`
 	// Assignments are the engines that should be something else than they were started as.
 	Assignments []Assignment `cbor:"assignments" json:"assignments"`
+	// Revision, Pools, Callers and Source are from the document that was accepted last.
+	Revision Revision     `cbor:"revision,omitempty" json:"revision,omitempty"`
+	Pools    []Pool       `cbor:"pools,omitempty"    json:"pools,omitempty"`
+	Callers  CallerLimits `cbor:"callers,omitzero"   json:"callers,omitzero"`
+	Source   []byte       `cbor:"source,omitempty"   json:"-"`
 
 	keyByHash map[KeyHash]Key
 }
@@ -281,16 +374,33 @@
 	return find(s.Assignments, id, func(a Assignment) UpstreamID { return a.Upstream })
 }
 
-// RouteFor returns the route with the longest prefix of the path; a prefix ends at a slash.
-func (s *Tables) RouteFor(path string) (Route, bool) {
-	var best Route
-	for _, r := range s.Routes {
-		prefix := strings.TrimSuffix(r.Path, "/")
-		if len(r.Path) > len(best.Path) && (path == prefix || strings.HasPrefix(path, prefix+"/")) {
-			best = r
+// RouteFor returns the host's route with the longest prefix of the path.
+func (s *Tables) RouteFor(host, path string) (Route, bool) {
+	best := -1
+	for i := range s.Routes {
+		if (best < 0 || len(s.Routes[i].Path) > len(s.Routes[best].Path)) && s.Routes[i].answers(host, path) {
+			best = i
 		}
 	}
-	return best, best.Name != ""
+	if best < 0 {
+		return Route{}, false
+	}
+	return s.Routes[best], true
+}
+
+// answers reports whether the route's prefix covers whole segments of the path. Without a host of its own, a route also
+// answers for its prefix without the last slash.
+func (r *Route) answers(host, path string) bool {
+	prefix := r.Path
+	if r.Host == "" {
+		prefix = strings.TrimSuffix(r.Path, "/")
+	} else if !strings.EqualFold(r.Host, host) {
+		return false
+	}
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
 }
 
 // Allows reports whether a list of accounts, where empty means all, has this one.
@@ -365,6 +475,10 @@
 		s.Policies = put(s.Policies, c.Policy, func(p UpstreamPolicy) PoolID { return p.Pool })
 	case ChangePutAssignment:
 		s.Assignments = put(s.Assignments, c.Assignment, func(a Assignment) UpstreamID { return a.Upstream })
+	case ChangeReplace:
+		if c.Document.Revision > s.Revision {
+			s.replace(c.Document)
+		}
 	case ChangeDeleteAssignment:
 		s.Assignments, ok = remove(s.Assignments, c.Assignment.Upstream, func(a Assignment) UpstreamID { return a.Upstream })
 	}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -190,7 +190,12 @@
 
 func (p *part) decide(t *core.Turn, c core.Command) core.CommandResult {
 	r := core.CommandResult{ID: c.ID, Version: p.tables.Version, Summary: summary(&c.Change), Who: c.Operator, At: c.At}
-	if c.Expect != p.tables.Version {
+	if c.Change.Kind == core.ChangeReplace {
+		if c.Change.Document.Revision <= p.tables.Revision {
+			// An older document, or the same one again, changes nothing and is no failure.
+			return r
+		}
+	} else if c.Expect != p.tables.Version {
 		r.Failure = core.Fail(core.KindVersionConflict, "the version is %d, not %d", p.tables.Version, c.Expect)
 		return r
 	}
@@ -266,6 +271,8 @@
 		subject = string(c.Policy.Pool)
 	case core.ChangePutAssignment, core.ChangeDeleteAssignment:
 		subject = string(c.Assignment.Upstream)
+	case core.ChangeReplace:
+		subject = fmt.Sprint("revision ", c.Document.Revision)
 	}
 	return fmt.Sprintf("%s %s", c.Kind, subject)
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -36,10 +36,7 @@
 	if pl.held[m.Ask.Attempt] != nil {
 		return
 	}
-	h := &held{ask: m.Ask, from: from, placed: m.Placed}
-	if !m.Ask.Service {
-		h.pieces = core.Pieces(m.Ask.Prompt + m.Ask.Output)
-	}
+	h := &held{ask: m.Ask, from: from, placed: m.Placed, memory: pl.need(&m.Ask)}
 	if !m.Decoding && m.Placed.Prefill != "" {
 		h.prefill = m.Ask.Prompt
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,6 +30,13 @@
 	leader  core.HostID
 	tables  *core.Tables
 	members []core.Member
+	owners  Owners
+	// local is true where this host keeps a ledger for its own requests only.
+	local   bool
+	silence time.Duration
+	rand    *rand.Rand
+	// usable is how many upstreams the other parts were told of.
+	usable  bool
 	pools   map[core.PoolID]*pool
 	cancels map[cancelKey]*cancel
 	sweep   time.Time
@@ -43,9 +51,13 @@
 
 func newPart(env core.Env) core.Part {
 	p := &part{
-		self: env.Self, limits: env.Limits, tables: &core.Tables{},
+		self: env.Self, limits: env.Limits, tables: &core.Tables{}, owners: OwnersFor(env),
+		local: env.Placement == core.PlacementHost, silence: env.Silence, rand: env.Rand,
 		pools: map[core.PoolID]*pool{}, cancels: map[cancelKey]*cancel{},
 	}
+	if p.silence == 0 {
+		p.silence = silentAfter
+	}
 	return core.Part{Handle: p.handle, NextDeadline: func() time.Time { return p.sweep }, Gauges: p.gauges}
 }
 
@@ -53,6 +65,9 @@
 	switch e := ev.(type) {
 	case core.TablesChanged:
 		p.tables = e.Tables
+		for _, pl := range p.pools {
+			pl.configure(e.Tables)
+		}
 	case core.LeaderKnown:
 		p.epoch, p.leader = e.Epoch, e.Leader
 	case core.MembersChanged:
@@ -74,6 +89,8 @@
 	switch m := m.(type) {
 	case core.UpstreamNews:
 		p.news(t, m)
+	case core.UpstreamList:
+		p.listed(t, m)
 	case core.PlaceAsk:
 		p.asked(t, from, m)
 	case core.Claim:
@@ -87,7 +104,11 @@
 
 // forward passes an upstream's words on to the pool's dispatcher.
 func (p *part) forward(t *core.Turn, id core.PoolID, m core.UpstreamNews) {
-	if owner, ok := Owner(id, p.members); ok {
+	if p.local {
+		// The registry tells every entry host.
+		return
+	}
+	if owner, ok := p.owners.Of(id, p.members); ok {
 		t.Send(owner.Host, m)
 	}
 }
@@ -96,6 +117,8 @@
 	pl := p.pools[id]
 	if pl == nil {
 		pl = newPool(id, t.Now)
+		pl.silence, pl.passedOn = p.silence, p.local
+		pl.configure(p.tables)
 		p.pools[id] = pl
 	}
 	p.wake(t)
@@ -110,24 +133,34 @@
 
 func (p *part) news(t *core.Turn, m core.UpstreamNews) {
 	if a := m.Announcement; a != nil {
-		if p.pools[a.Pool] == nil && len(p.pools) >= maxPools {
-			return
-		}
-		pl := p.pool(t, a.Pool)
-		if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
-			pl.announce(*a, t.Now)
-			pl.refresh(pl.upstreams[a.ID], t.Now, p.tables.Policy(pl.id))
-		}
-		if want, ok := p.tables.Assignment(a.ID); ok && !want.Met(a) && !a.Leaving {
-			t.Send(p.leader, core.OrderWanted{Announcement: *a})
-		}
-		p.serve(t, pl)
+		p.announced(t, a, t.Now)
 	}
 	if r := m.Report; r != nil {
 		p.reported(t, r)
 	}
 }
 
+// announced takes what an upstream said of itself at some time.
+func (p *part) announced(t *core.Turn, a *core.Announcement, heard time.Time) {
+	if p.pools[a.Pool] == nil && len(p.pools) >= maxPools {
+		return
+	}
+	p.moveOut(a)
+	pl := p.pool(t, a.Pool)
+	if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
+		pl.announce(*a, heard)
+		if p.local {
+			pl.upstreams[a.ID].turn = max(pl.upstreams[a.ID].turn, p.rand.Uint64N(maxTurn))
+		}
+		pl.refresh(pl.upstreams[a.ID], t.Now, p.tables.Policy(pl.id))
+	}
+	if want, ok := p.tables.Assignment(a.ID); ok && !want.Met(a) && !a.Leaving {
+		t.Send(p.leader, core.OrderWanted{Announcement: *a})
+	}
+	p.serve(t, pl)
+	p.tellUsable(t)
+}
+
 func (p *part) reported(t *core.Turn, r *core.Report) {
 	pl := p.pool(t, r.Pool)
 	u := pl.upstreams[r.ID]
@@ -160,7 +193,7 @@
 			}
 		}
 		p.serve(t, pl)
-		if owner, ok := Owner(id, p.members); ok && owner.Host != p.self {
+		if owner, ok := p.owners.Of(id, p.members); ok && owner.Host != p.self {
 			p.handOver(t, pl, owner.Host)
 		}
 	}
@@ -193,6 +226,7 @@
 		p.audit(t)
 	}
 	p.repeatCancels(t)
+	p.tellUsable(t)
 	if len(p.pools) > 0 || len(p.cancels) > 0 {
 		p.sweep = t.Now.Add(sweepEvery)
 	}
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -8,6 +8,26 @@
 	"oleanderlever/core"
 )
 
+// Owners tells which host dispatches a pool.
+type Owners struct {
+	placement core.Placement
+	self      core.HostID
+	boot      uint64
+}
+
+// OwnersFor returns the rule for a host.
+func OwnersFor(env core.Env) Owners {
+	return Owners{placement: env.Placement, self: env.Self, boot: env.Boot}
+}
+
+// Of returns the host that dispatches a pool.
+func (o Owners) Of(pool core.PoolID, members []core.Member) (core.Member, bool) {
+	if o.placement == core.PlacementHost {
+		return core.Member{Host: o.self, Boot: o.boot}, true
+	}
+	return Owner(pool, members)
+}
+
 // Owner returns the host that dispatches a pool: the one with the highest hash of pool and host. When a host comes or
 // goes, only the pools that it wins or had change hands. A ring of hosts was rejected: with few hosts it spreads pools
 // less evenly and needs points to be kept.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -13,8 +13,8 @@
 	ask    core.PlaceAsk
 	from   core.HostID
 	placed core.Placed
-	// pieces are held at the decode engine; prefill is the tokens held at the prefill engine until it is done.
-	pieces  int
+	// memory is held at the decode engine; prefill is the tokens held at the prefill engine until it is done.
+	memory  core.Tokens
 	prefill core.Tokens
 	// since is when the ledger took it, missed how many lists of its entry host in a row did not name it.
 	since  time.Time
@@ -42,6 +42,45 @@
 	prefixes map[uint64][]core.UpstreamID
 	// empty is since when the pool has had no upstream at all.
 	empty time.Time
+	// engine is what the configuration says of the pool's engines, if anything; block is the unit of their memory.
+	engine *core.Engine
+	block  core.Tokens
+	// silence is how long an upstream may be silent. Where others pass its words on, that is counted up to lastHeard, when
+	// any upstream of the pool was heard last: if all fall silent at once, the way here is broken and not they.
+	silence   time.Duration
+	passedOn  bool
+	lastHeard time.Time
+	// turns counts placements, so that of equally loaded upstreams the one that waited longest is next.
+	turns uint64
+}
+
+// configure takes over what the configuration says of the pool.
+func (p *pool) configure(tables *core.Tables) {
+	p.engine, p.block = nil, core.PieceTokens
+	c, ok := tables.Pool(p.id)
+	if !ok || c.Engine == nil {
+		return
+	}
+	p.engine = c.Engine
+	if c.Engine.Block > 0 {
+		p.block = c.Engine.Block
+	}
+}
+
+// need is the engine memory that an attempt takes.
+func (p *pool) need(ask *core.PlaceAsk) core.Tokens {
+	if ask.Service {
+		return 0
+	}
+	return (ask.Prompt + ask.Output + p.block - 1) / p.block * p.block
+}
+
+// room is an engine's whole memory.
+func (p *pool) room(u *upstream) core.Tokens {
+	if p.engine != nil && u.Sized {
+		return p.engine.Memory
+	}
+	return core.Tokens(u.Pieces) * core.PieceTokens
 }
 
 func newPool(id core.PoolID, now time.Time) *pool {
@@ -57,6 +96,9 @@
 	if x, y := a.slots*b.Slots, b.slots*a.Slots; x != y {
 		return x < y
 	}
+	if a.turn != b.turn {
+		return a.turn < b.turn
+	}
 	return a.ID < b.ID
 }
 
@@ -69,7 +111,7 @@
 
 // refresh puts an upstream where its load and its state belong.
 func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
-	usable := u.usable(now, policy)
+	usable := u.usable(p.heardUpTo(now), now, p.silence, policy)
 	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
 		p.answering.Fix(u)
 	} else {
@@ -82,6 +124,14 @@
 	}
 }
 
+// heardUpTo is the time up to which the silence of an upstream is counted.
+func (p *pool) heardUpTo(now time.Time) time.Time {
+	if p.passedOn {
+		return p.lastHeard
+	}
+	return now
+}
+
 // refreshAll drops what has fallen silent and takes back what has recovered.
 func (p *pool) refreshAll(now time.Time, policy core.UpstreamPolicy) {
 	for _, u := range p.upstreams {
@@ -142,17 +192,14 @@
 
 // place finds upstreams for an attempt and reserves them.
 func (p *pool) place(w *waiting, now time.Time, epoch core.Epoch) (*held, choice, verdict) {
-	pieces := core.Pieces(w.ask.Prompt + w.ask.Output)
-	if w.ask.Service {
-		pieces = 0
-	}
-	answer, v := p.chooseAnswering(w, pieces)
+	memory := p.need(&w.ask)
+	answer, v := p.chooseAnswering(w, memory)
 	if v != verdictPlaced {
 		return nil, answer, v
 	}
-	h := &held{ask: w.ask, from: w.from, pieces: pieces, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
+	h := &held{ask: w.ask, from: w.from, memory: memory, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
 	h.placed.Decode, h.placed.DecodeAddr = answer.best.ID, answer.best.Addr
-	if w.ask.Service {
+	if w.ask.Service || p.readsItself() {
 		p.reserve(h, now)
 		return h, answer, verdictPlaced
 	}
@@ -169,7 +216,7 @@
 
 // chooseAnswering picks the least busy upstream with a free slot and enough memory. Upstreams at which the request
 // failed before are taken only where there is no other one.
-func (p *pool) chooseAnswering(w *waiting, pieces int) (choice, verdict) {
+func (p *pool) chooseAnswering(w *waiting, memory core.Tokens) (choice, verdict) {
 	var c, avoided choice
 	looked, slots := 0, false
 	p.answering.Ascend(func(u *upstream) bool {
@@ -177,7 +224,7 @@
 			return false
 		}
 		slots = true
-		if w.ask.Service == (u.Role == core.RoleService) && (w.ask.Service || u.pieces+pieces <= u.Pieces) {
+		if w.ask.Service == (u.Role == core.RoleService) && (w.ask.Service || u.memory+memory <= p.room(u)) {
 			into := &c
 			if slices.Contains(w.ask.Avoid, u.ID) {
 				into = &avoided
@@ -198,6 +245,10 @@
 	return c, verdictFull
 }
 
+// readsItself reports whether decode engines take prompts that no other engine has prefilled. Those that have their
+// memory from the configuration do.
+func (p *pool) readsItself() bool { return p.engine != nil }
+
 // choosePrefilling picks the engine with the least to compute before and for this prompt: among the shortest queues,
 // and among the engines that lately got a prompt with the same first block.
 func (p *pool) choosePrefilling(w *waiting) choice {
@@ -254,7 +305,11 @@
 	p.held[h.ask.Attempt] = h
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots++
-		d.pieces += h.pieces
+		if d.turn > 0 {
+			p.turns++
+			d.turn = maxTurn + p.turns
+		}
+		d.memory += h.memory
 		p.moved(d)
 	}
 	if f := p.upstreams[h.placed.Prefill]; f != nil {
@@ -294,7 +349,7 @@
 	p.releasePrefill(h, now)
 	if d := p.upstreams[h.placed.Decode]; d != nil {
 		d.slots--
-		d.pieces -= h.pieces
+		d.memory -= h.memory
 		p.moved(d)
 	}
 	delete(p.held, h.ask.Attempt)
@@ -303,7 +358,7 @@
 // announce takes an upstream's announcement; a new incarnation holds nothing of the old one's work.
 func (p *pool) announce(a core.Announcement, now time.Time) {
 	u := p.upstreams[a.ID]
-	if u != nil && a.Incarnation < u.Incarnation {
+	if u != nil && (a.Incarnation < u.Incarnation || (a.Incarnation == u.Incarnation && a.Seq < u.Seq)) {
 		return
 	}
 	if u == nil || a.Incarnation > u.Incarnation {
@@ -312,8 +367,10 @@
 		p.upstreams[a.ID] = u
 		p.recount(a.ID, u)
 	}
+	a.Leaving = a.Leaving || (a.Seq > 0 && u.Leaving)
 	u.Announcement = a
-	u.heard = now
+	u.heard = later(u.heard, now)
+	p.lastHeard = later(p.lastHeard, now)
 }
 
 // recount charges the attempts that the ledger holds at an upstream to its new row.
@@ -321,7 +378,7 @@
 	for _, h := range p.held {
 		if h.placed.Decode == id {
 			u.slots++
-			u.pieces += h.pieces
+			u.memory += h.memory
 		}
 		if h.placed.Prefill == id {
 			u.prefill += h.prefill
@@ -346,7 +403,8 @@
 // forget drops upstreams that have been silent for long.
 func (p *pool) forget(now time.Time) {
 	for _, u := range p.upstreams {
-		if now.Sub(u.heard) >= forgetAfter {
+		silent := now.Sub(u.heard)
+		if p.heardUpTo(now).Sub(u.heard) >= forgetAfter || (u.Leaving && silent >= forgetAfter) || silent >= forgetAnyway {
 			p.drop(u)
 		}
 	}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -12,6 +12,8 @@
 	silentAfter = 2 * time.Second
 	// forgetAfter is how long a silent upstream is remembered.
 	forgetAfter = 30 * time.Second
+	// forgetAnyway is how long one is remembered of which, as of all others, no word is passed on any more.
+	forgetAnyway = 10 * time.Minute
 	// orphanGrace is how long an attempt may stand in reports without a claim.
 	orphanGrace = 3 * time.Second
 	// breakAfter failures in a row, an upstream is left alone for breakFor, which doubles up to breakMost.
@@ -22,16 +24,20 @@
 	maxCacheBlocks = 8192
 	minCacheBlocks = 128
 	maxPoolBlocks  = 1 << 20
+	// maxTurn bounds the random turns that upstreams start with; those of placements lie above it.
+	maxTurn = 1 << 20
 )
 
 // upstream is one engine or service instance in the dispatcher's ledger.
 type upstream struct {
 	core.Announcement
 	heard time.Time
-	// slots and pieces are reserved by the ledger; prefill is the tokens of the prefills under way.
+	// slots and memory are reserved by the ledger; prefill is the tokens of the prefills under way.
 	slots   int
-	pieces  int
+	memory  core.Tokens
 	prefill core.Tokens
+	// turn orders equally loaded upstreams by their last placement; zero leaves it to their names.
+	turn uint64
 	// busy is when the prefills under way should be done.
 	busy time.Time
 	// lastEnd is when the latest prefill was done.
@@ -50,8 +56,8 @@
 }
 
 // usable reports whether an upstream may get new work.
-func (u *upstream) usable(now time.Time, policy core.UpstreamPolicy) bool {
-	return !u.Leaving && now.Sub(u.heard) < silentAfter && !now.Before(u.openUntil) && !slices.Contains(policy.Drained, u.ID)
+func (u *upstream) usable(lastHeard, now time.Time, silence time.Duration, policy core.UpstreamPolicy) bool {
+	return !u.Leaving && lastHeard.Sub(u.heard) < silence && !now.Before(u.openUntil) && !slices.Contains(policy.Drained, u.ID)
 }
 
 // failed counts a failure and opens the breaker after several in a row.
--- /dev/null
+++ b/core/document.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Revision is the number that operators give to a whole configuration; it grows in steps of any size.
+type Revision uint64
+
+// Document is a whole configuration under an operator's own number; the one with the highest number counts.
+type Document struct {
+	Revision Revision     `cbor:"revision"`
+	Accounts []Account    `cbor:"accounts"`
+	Keys     []Key        `cbor:"keys"`
+	Routes   []Route      `cbor:"routes"`
+	Pools    []Pool       `cbor:"pools"`
+	Callers  CallerLimits `cbor:"callers"`
+	// Source is the operator's text, which is given back as it came.
+	Source []byte `cbor:"source"`
+}
+
+// Pool is what the configuration says of a group of interchangeable upstreams.
+type Pool struct {
+	ID PoolID `cbor:"id" json:"id"`
+	// HealthPath answers status 200 while an upstream counts itself healthy.
+	HealthPath string `cbor:"healthPath" json:"healthPath"`
+	// MaxConns is how many connections an upstream takes from all hosts together.
+	MaxConns int `cbor:"maxConns" json:"maxConns"`
+	// Engine is unset for a plain service.
+	Engine *Engine `cbor:"engine,omitempty" json:"engine,omitempty"`
+}
+
+// Engine is what the configuration says of a pool's model engines.
+type Engine struct {
+	// Slots is how many streams run in one batch.
+	Slots int `cbor:"slots" json:"slots"`
+	// Memory is how many tokens of KV cache an engine holds.
+	Memory Tokens `cbor:"memory" json:"memory"`
+	// Block is the unit in which the memory is handed out.
+	Block Tokens `cbor:"block" json:"block"`
+	// TokenBytes is the size of one token's KV cache in bytes.
+	TokenBytes int64 `cbor:"tokenBytes" json:"tokenBytes"`
+	// HandleLife is how long a prefill's result is kept.
+	HandleLife time.Duration `cbor:"handleLife" json:"handleLife"`
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	MaxHeaderBytes int           `cbor:"maxHeaderBytes" json:"maxHeaderBytes"`
+	MaxBodyBytes   int           `cbor:"maxBodyBytes"   json:"maxBodyBytes"`
+	HeaderTimeout  time.Duration `cbor:"headerTimeout"  json:"headerTimeout"`
+	IdleTimeout    time.Duration `cbor:"idleTimeout"    json:"idleTimeout"`
+}
+
+// maxDocument bounds the operator's text in bytes.
+const maxDocument = 16 << 20
+
+func poolID(p Pool) PoolID { return p.ID }
+
+// Check sorts the document's lists and returns a KindBadRequest error unless it is valid as a whole.
+func (d *Document) Check() error {
+	if d.Revision == 0 || len(d.Source) > maxDocument {
+		return Fail(KindBadRequest, "document: revision 0, or a text of more than %d bytes", maxDocument)
+	}
+	for _, check := range []func(*Document) error{(*Document).checkPools, (*Document).checkRoutes, (*Document).checkAccounts} {
+		if err := check(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Document) checkPools() error {
+	slices.SortFunc(d.Pools, func(a, b Pool) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range d.Pools {
+		if err := CheckName("pool.id", string(d.Pools[i].ID)); err != nil {
+			return err
+		}
+		if i > 0 && d.Pools[i].ID == d.Pools[i-1].ID {
+			return Fail(KindBadRequest, "pool %s stands twice", d.Pools[i].ID)
+		}
+	}
+	return nil
+}
+
+func (d *Document) checkRoutes() error {
+	slices.SortFunc(d.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	places := map[string]string{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.check(); err != nil {
+			return err
+		}
+		if i > 0 && r.Name == d.Routes[i-1].Name {
+			return Fail(KindBadRequest, "route %s stands twice", r.Name)
+		}
+		place := strings.ToLower(r.Host) + r.Path
+		if other, ok := places[place]; ok {
+			return Fail(KindBadRequest, "routes %s and %s share host and prefix", other, r.Name)
+		}
+		places[place] = r.Name
+		if err := d.checkShares(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Document) checkShares(r *Route) error {
+	for _, s := range r.shares() {
+		if _, ok := find(d.Pools, s.Pool, poolID); !ok {
+			return Fail(KindBadRequest, "route %s: there is no pool %q", r.Name, s.Pool)
+		}
+	}
+	return nil
+}
+
+func (d *Document) checkAccounts() error {
+	slices.SortFunc(d.Accounts, func(a, b Account) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range d.Accounts {
+		if err := d.Accounts[i].check(); err != nil {
+			return err
+		}
+		if i > 0 && d.Accounts[i].ID == d.Accounts[i-1].ID {
+			return Fail(KindBadRequest, "client account %s stands twice", d.Accounts[i].ID)
+		}
+	}
+	slices.SortFunc(d.Keys, func(a, b Key) int { return bytes.Compare(a.Hash[:], b.Hash[:]) })
+	for i := range d.Keys {
+		if err := d.Keys[i].check(); err != nil {
+			return err
+		}
+		if i > 0 && d.Keys[i].Hash == d.Keys[i-1].Hash && d.Keys[i].Account != d.Keys[i-1].Account {
+			return Fail(KindBadRequest, "client accounts %s and %s share a key", d.Keys[i-1].Account, d.Keys[i].Account)
+		}
+	}
+	d.Keys = slices.CompactFunc(d.Keys, func(a, b Key) bool { return a.Hash == b.Hash })
+	slices.SortFunc(d.Keys, func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	return nil
+}
+
+// replace takes over everything that a document says; what it does not speak of stays.
+func (s *Tables) replace(d *Document) {
+	s.Revision, s.Source, s.Callers = d.Revision, d.Source, d.Callers
+	s.Accounts, s.Keys, s.Routes, s.Pools = d.Accounts, d.Keys, d.Routes, d.Pools
+}
+
+// Pool returns what the configuration says of a pool.
+func (s *Tables) Pool(id PoolID) (Pool, bool) { return find(s.Pools, id, poolID) }
--- a/core/entry/admit.go
+++ b/core/entry/admit.go
@@ -11,9 +11,12 @@
 	account core.Account
 	pool    core.PoolID
 	route   core.Route
+	// service requests get one whole answer, the others a stream of tokens or events.
 	service bool
-	output  core.Tokens
-	cost    core.Tokens
+	// plain requests go to a pool of plain services, whose upstreams have no memory to reserve.
+	plain  bool
+	output core.Tokens
+	cost   core.Tokens
 }
 
 // Authenticate returns the client account of a key, or the refusal. A host whose configuration lease has run out
@@ -41,11 +44,19 @@
 	if r.Model != "" {
 		return p.admitModel(t, r)
 	}
-	route, ok := p.tables.RouteFor(r.Path)
+	route, ok := p.tables.RouteFor(r.Host, r.Path)
+	if !ok && p.tables.Version == 0 {
+		return admitted{}, core.Fail(core.KindNotReady, "the host has no configuration yet")
+	}
 	if !ok {
 		return admitted{}, core.Fail(core.KindNoRoute, "no route for %q", r.Path)
 	}
-	a := admitted{pool: route.Pool, route: route, service: true, cost: route.Cost}
+	a := admitted{pool: route.PickPool(p.rand.Float64()), route: route, service: !route.Stream, output: r.MaxOutput, cost: route.Cost}
+	pool, ok := p.tables.Pool(a.pool)
+	a.plain = !ok || pool.Engine == nil
+	if route.Whole {
+		r.Deadline = core.Earlier(r.Deadline, t.Now.Add(route.Timeout))
+	}
 	if route.Open {
 		return a, nil
 	}
@@ -57,9 +68,22 @@
 		return a, core.Fail(core.KindForbidden, "the client account may not use route %s", route.Name)
 	}
 	a.account = account
+	a.cost = costOf(&account, &route, r)
 	return a, nil
 }
 
+// costOf returns what a request on a route takes from its account's bucket.
+func costOf(a *core.Account, route *core.Route, r *core.Request) core.Tokens {
+	named := r.Prompt + r.MaxOutput
+	switch {
+	case named > 0 && !a.ByCall:
+		return named
+	case a.CallCost > 0:
+		return a.CallCost
+	}
+	return route.Cost
+}
+
 func (p *part) admitModel(t *core.Turn, r *core.Request) (admitted, *core.Failure) {
 	account, f := Authenticate(p.tables, p.until, t.Now, r.Key, r.HasKey)
 	if f != nil {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,8 +16,13 @@
 // part drives the requests of one entry host. Each request is a small state machine; only this part gives the
 // traffic side its next step, so a request can't be answered twice or run on two paths.
 type part struct {
-	boot     uint64
-	limit    int
+	boot   uint64
+	limit  int
+	rand   *rand.Rand
+	owners dispatch.Owners
+	// retries bounds the retries; hosts is the most entry hosts that were known at once, which share its burst.
+	retries  core.RetryBudget
+	hosts    int
 	tables   *core.Tables
 	until    time.Time
 	members  []core.Member
@@ -26,6 +32,8 @@
 	budgets  map[core.PoolID]*budget
 	draining bool
 	drained  bool
+	// upstreams is true while there is one to send work to.
+	upstreams bool
 	// list is when the dispatchers are next told what this host has.
 	list time.Time
 	// listed are the pools whose dispatchers are told, with how many empty lists they got in a row.
@@ -44,7 +52,8 @@
 	empty := &core.Tables{}
 	empty.Index()
 	p := &part{
-		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty,
+		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty, rand: env.Rand,
+		owners: dispatch.OwnersFor(env), retries: env.Retries,
 		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, listed: map[core.PoolID]int{},
 	}
 	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
@@ -84,7 +93,11 @@
 		p.publish(t)
 	case core.MembersChanged:
 		p.members = e.Members
+		p.countHosts()
 		p.ownersChanged(t)
+	case core.UpstreamsUsable:
+		p.upstreams = e.Count > 0
+		p.publish(t)
 	case core.Draining:
 		p.draining = true
 		p.publish(t)
@@ -110,7 +123,7 @@
 }
 
 func (p *part) publish(t *core.Turn) {
-	t.Do(core.PublishState{Tables: p.tables, Until: p.until, Draining: p.draining})
+	t.Do(core.PublishState{Tables: p.tables, Until: p.until, Draining: p.draining, Upstreams: p.upstreams})
 }
 
 func (p *part) arrived(t *core.Turn, r core.Request) {
@@ -123,6 +136,9 @@
 		return
 	}
 	a, f := p.admit(t, &r)
+	if f == nil && p.requests[r.ID] != nil {
+		f = core.Fail(core.KindBadRequest, "a request with this ID is under way")
+	}
 	if f != nil {
 		t.Decide(core.Decision{Part: "entry", Choice: "refuse", Reason: f.Kind.String(), Request: r.ID, Account: a.account.ID, Pool: a.pool})
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
@@ -206,7 +222,7 @@
 }
 
 func (p *part) ownerOf(pool core.PoolID) owner {
-	m, _ := dispatch.Owner(pool, p.members)
+	m, _ := p.owners.Of(pool, p.members)
 	return owner{host: m.Host, boot: m.Boot}
 }
 
@@ -224,11 +240,19 @@
 	p.wakes.Remove(r)
 	if r.service {
 		r.stage = stageCall
-		fresh := !r.route.Repeatable
-		t.Do(core.RunCall{Attempt: m.Attempt, Upstream: m.DecodeAddr, Timeout: r.route.Timeout, Fresh: fresh})
+		p.arm(r)
+		t.Do(core.RunCall{
+			Attempt: m.Attempt, Upstream: m.DecodeAddr, Instance: m.Decode, Account: r.account.ID,
+			Timeout: r.callTimeout(t.Now), Fresh: !r.route.Repeatable,
+		})
+		return
+	}
+	if m.Prefill == "" {
+		p.decode(t, r, core.KVRef{})
 		return
 	}
 	r.stage = stagePrefill
+	p.arm(r)
 	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
 }
 
@@ -259,12 +283,22 @@
 		r.prompt = e.Prompt
 	}
 	p.sendDone(t, r, core.PlaceDone{PrefillOnly: true})
+	p.decode(t, r, e.KV)
+}
+
+// decode starts the stream, from a prefill's result or from the prompt itself.
+func (p *part) decode(t *core.Turn, r *request, kv core.KVRef) {
 	r.stage = stageDecode
 	r.prefilled = t.Now
-	t.Do(core.RunDecode{
-		Attempt: e.Attempt, Upstream: r.placed.DecodeAddr, Epoch: r.placed.Epoch, KV: e.KV,
-		Max: r.output - r.relayed, Silence: tokenSilence,
-	})
+	p.arm(r)
+	d := core.RunDecode{
+		Attempt: r.attemptID(), Upstream: r.placed.DecodeAddr, Instance: r.placed.Decode, Account: r.account.ID,
+		Epoch: r.placed.Epoch, KV: kv, Max: r.output - r.relayed, Silence: r.silence(t.Now),
+	}
+	if r.route.Whole {
+		d.Deadline = r.Deadline
+	}
+	t.Do(d)
 }
 
 func (p *part) firstToken(t *core.Turn, a core.AttemptID) {
@@ -284,7 +318,7 @@
 		p.finish(t, r)
 		return
 	}
-	if e.Broken && r.resumes < maxResumes {
+	if e.Broken && r.resumes < maxResumes && !r.route.Stream {
 		r.resumes++
 		t.Decide(core.Decision{Part: "entry", Choice: "resume", Reason: e.Failure.Message, Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Decode)})
 		t.Do(core.RunDecode{
@@ -306,6 +340,9 @@
 		return
 	}
 	r.ran = true
+	if e.Answer.Status >= failedStatus && r.repeatable() && p.retry(t, r, failedAnswer(&e.Answer), r.placed.Decode) {
+		return
+	}
 	p.sendDone(t, r, core.PlaceDone{})
 	if r.once == "" {
 		p.finish(t, r)
@@ -322,21 +359,42 @@
 	}
 }
 
-// attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
-func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
-	blame := failed
+// failedStatus is the first of the status codes by which an upstream says that it failed.
+const failedStatus = 500
+
+func failedAnswer(a *core.StoredAnswer) *core.Failure {
+	return core.Fail(core.KindUpstreamFailed, "the upstream answered status %d", a.Status)
+}
+
+// blame returns the upstream that a failed attempt counts against, or an empty name.
+func blame(f *core.Failure, failed core.UpstreamID) core.UpstreamID {
 	switch f.Kind {
 	case core.KindBadRequest, core.KindUpstreamRefused, core.KindCancelled:
-		blame = ""
+		return ""
 	}
-	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame})
+	return failed
+}
+
+// retry asks for another place for a request whose attempt has failed, if that is allowed and the budget lasts.
+func (p *part) retry(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) bool {
+	allowed := r.mayRetry(f) || (p.retryAll && r.ask.Attempt.Number < maxAttempts)
+	if !allowed || !p.budget(r.pool).spend(p.retries, p.hosts) {
+		return false
+	}
+	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
+	r.avoid = append(r.avoid, failed)
+	t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
+	p.askPlace(t, r)
+	return true
+}
+
+// attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
+func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
 	r.ran = r.ran || !f.NotRun
-	if (r.mayRetry(f) || (p.retryAll && r.ask.Attempt.Number < maxAttempts)) && p.budget(r.pool).spend() {
-		r.avoid = append(r.avoid, failed)
-		t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
-		p.askPlace(t, r)
+	if p.retry(t, r, f, failed) {
 		return
 	}
+	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
 	out := *f
 	if r.service && !r.route.Repeatable && !f.NotRun {
 		out.Kind = core.KindOutcomeUnknown
@@ -348,7 +406,7 @@
 func (p *part) budget(pool core.PoolID) *budget {
 	b := p.budgets[pool]
 	if b == nil {
-		b = &budget{credit: budgetMost}
+		b = &budget{credit: budgetMost(p.retries, p.hosts)}
 		p.budgets[pool] = b
 	}
 	return b
@@ -372,7 +430,7 @@
 }
 
 func (p *part) finish(t *core.Turn, r *request) {
-	p.budget(r.pool).earn()
+	p.budget(r.pool).earn(p.retries, p.hosts)
 	t.Decide(core.Decision{
 		Part: "entry", Choice: "finish", Reason: "answered in full", Request: r.ID, Attempt: r.ask.Attempt.Number,
 		Account: r.account.ID, Pool: r.pool, Output: r.relayed,
@@ -411,11 +469,33 @@
 	switch r.stage {
 	case stageQuota, stagePlace:
 		p.stopWaiting(t, r, gone)
+	case stageCall:
+		if r.route.Whole && r.repeatable() {
+			p.breakOff(t, r, gone)
+		}
 	case stagePrefill, stageDecode:
-		r.ran = true
-		p.sendDone(t, r, core.PlaceDone{Cancel: true})
-		p.refuse(t, r, gone)
+		p.breakOff(t, r, gone)
+	}
+}
+
+// breakOff gives up an attempt that runs.
+func (p *part) breakOff(t *core.Turn, r *request, f *core.Failure) {
+	r.ran = true
+	t.Do(core.BreakOff{Attempt: r.attemptID()})
+	p.sendDone(t, r, core.PlaceDone{Cancel: true})
+	p.refuse(t, r, f)
+}
+
+// countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take
+// their parts of the retry budget.
+func (p *part) countHosts() {
+	n := 0
+	for i := range p.members {
+		if p.members[i].Entry {
+			n++
+		}
 	}
+	p.hosts = max(p.hosts, n)
 }
 
 // refuseWithdrawn refuses the requests that have not started when their key is withdrawn.
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -132,6 +132,12 @@
 		r.wake = r.Deadline
 	case stagePlace:
 		r.wake = core.Earlier(r.Deadline, r.resend)
+	case stagePrefill, stageDecode, stageCall:
+		if !r.route.Whole {
+			p.wakes.Remove(r)
+			return
+		}
+		r.wake = r.Deadline
 	default:
 		p.wakes.Remove(r)
 		return
@@ -148,6 +154,10 @@
 
 // wakeUp refuses a request that has waited too long, or asks the dispatcher again.
 func (p *part) wakeUp(t *core.Turn, r *request) {
+	if r.stage > stagePlace {
+		p.breakOff(t, r, core.Fail(core.KindDeadline, "the answer was not complete in time"))
+		return
+	}
 	if core.Due(r.Deadline, t.Now) {
 		f := core.Fail(core.KindDeadline, "the request could not start in time")
 		f.NotRun = !r.ran
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -78,22 +78,47 @@
 		Boot:    boot,
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		Prompt: r.Prompt + r.relayed, Output: r.output - r.relayed, Blocks: r.Blocks,
-		Service: r.service, Avoid: r.avoid, Left: r.Deadline.Sub(now), Urgent: r.relayed > 0,
+		Service: r.plain, Avoid: r.avoid, Left: r.patience(now), Urgent: r.relayed > 0,
 	}
 	r.placed = core.Placed{}
 	r.resumes = 0
 	r.first = 0
 }
 
+// patience is how long an attempt may wait for its place: a refusal after the target would have been better given at once.
+func (r *request) patience(now time.Time) time.Duration {
+	left := max(0, r.Deadline.Sub(now))
+	if r.route.Target > 0 {
+		return min(left, r.route.Target)
+	}
+	return left
+}
+
+// attempts is how many upstreams the request may be sent to.
+func (r *request) attempts() int {
+	if r.route.Attempts > 0 {
+		return r.route.Attempts
+	}
+	return maxAttempts
+}
+
+// repeatable reports whether the request may run more than once.
+func (r *request) repeatable() bool {
+	if r.route.Stream {
+		return r.route.Resumable
+	}
+	return !r.service || r.route.Repeatable
+}
+
 // mayRetry reports whether a failed attempt may be followed by another one.
 func (r *request) mayRetry(f *core.Failure) bool {
-	if r.gone || r.ask.Attempt.Number >= maxAttempts || f.Kind == core.KindBadRequest || f.Kind == core.KindCancelled {
+	if r.gone || r.ask.Attempt.Number >= r.attempts() || f.Kind == core.KindBadRequest || f.Kind == core.KindCancelled {
 		return false
 	}
-	if !r.service || r.route.Repeatable {
+	if r.repeatable() {
 		return true
 	}
-	return f.NotRun && r.once != ""
+	return f.NotRun && (r.once != "" || r.route.Attempts > 1)
 }
 
 // used is what a request that is over counts for in its account's bucket.
@@ -101,26 +126,49 @@
 	switch {
 	case !r.ran:
 		return 0
-	case r.service:
+	case r.route.Name != "":
 		return r.cost
 	}
 	return min(r.cost, max(r.prompt, r.Prompt)+r.relayed)
 }
 
+// callTimeout is how long a call may take.
+func (r *request) callTimeout(now time.Time) time.Duration {
+	if r.route.Whole {
+		return max(0, r.Deadline.Sub(now))
+	}
+	return r.route.Timeout
+}
+
+// silence is how long an upstream of a stream may say nothing. One that can't go on elsewhere is better waited for.
+func (r *request) silence(now time.Time) time.Duration {
+	if r.repeatable() {
+		return tokenSilence
+	}
+	return max(0, r.Deadline.Sub(now))
+}
+
 // budget limits retries to a share of the answered requests, so that retries can't multiply an overload.
 type budget struct{ credit float64 }
 
-const (
-	budgetMost  = 20.0
-	budgetShare = 0.1
-)
-
-func (b *budget) earn() { b.credit = min(budgetMost, b.credit+budgetShare) }
+func (b *budget) earn(rule core.RetryBudget, hosts int) {
+	b.credit = min(budgetMost(rule, hosts), b.credit+rule.Share)
+}
 
-func (b *budget) spend() bool {
+// spend takes one retry. A host that has just learned of others may hold more than its part of a shared burst.
+func (b *budget) spend(rule core.RetryBudget, hosts int) bool {
+	b.credit = min(b.credit, budgetMost(rule, hosts))
 	if b.credit < 1 {
 		return false
 	}
 	b.credit--
 	return true
 }
+
+// budgetMost is the credit that one host may gather.
+func budgetMost(rule core.RetryBudget, hosts int) float64 {
+	if rule.Shared {
+		return rule.Burst / float64(max(1, hosts))
+	}
+	return rule.Burst
+}
--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -155,7 +155,7 @@
 	env := core.Env{
 		Self: h.ID, Disk: h.Disk, DataCentre: core.DataCentre(fmt.Sprintf("dc-%d", r.index(h)%4+1)), Addr: addr(r.index(h)),
 		Boot: h.boot, Rand: rand.New(rand.NewPCG(r.config.Seed, uint64(r.index(h))<<16+h.boot)),
-		Stored: copyStored(h.Stored), Limits: r.config.Limits,
+		Stored: copyStored(h.Stored), Limits: r.config.Limits, Retries: core.DefaultRetries(), Entry: true,
 	}
 	for i := range r.config.Hosts {
 		env.Seeds = append(env.Seeds, addr(i))
--- a/core/kernel_test.go
+++ b/core/kernel_test.go
@@ -75,7 +75,7 @@
 func TestRoutesMatchWholeSegments(t *testing.T) {
 	tables := &core.Tables{Routes: []core.Route{{Name: "a", Path: "/a"}, {Name: "ab", Path: "/a/b"}, {Name: "c", Path: "/c/"}}}
 	for path, want := range map[string]string{"/a": "a", "/a/x": "a", "/a/b/x": "ab", "/ab": "", "/c": "c", "/c/d": "c", "/": ""} {
-		r, _ := tables.RouteFor(path)
+		r, _ := tables.RouteFor("", path)
 		require.Equal(t, want, r.Name, path)
 	}
 }
--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -48,9 +48,13 @@
 }
 
 func (g *grantor) applied(t *core.Turn, e core.ConfigApplied) {
-	if e.Change.Kind == 0 {
+	switch e.Change.Kind {
+	case 0:
 		g.changes = nil
-	} else {
+	case core.ChangeReplace:
+		// Only the last document matters, so a host that missed more than one is better off with the tables.
+		g.changes = []core.Change{e.Change}
+	default:
 		g.changes = append(g.changes, e.Change)
 	}
 	if len(g.changes) > keepChanges {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -56,8 +56,13 @@
 	// every is how often the leader wants to be asked.
 	every  time.Duration
 	tables *core.Tables
+	// serveStale leases do not run out: a host that was cut off serves on with the configuration that it has.
+	serveStale bool
 }
 
+// endless is how long a lease runs that does not run out.
+const endless = 100 * 365 * 24 * time.Hour
+
 func (h *holder) ask(t *core.Turn) {
 	h.renew = t.Now.Add(max(Renew, h.every))
 	if len(h.asks) > 0 {
@@ -79,6 +84,19 @@
 	t.Send(to, core.LeaseAsk{Ask: h.next, Have: h.tables.Version})
 }
 
+// membersChanged takes every host with a data folder for one that may lead or know who does.
+func (h *holder) membersChanged(members []core.Member) {
+	var keepers []core.HostID
+	for i := range members {
+		if members[i].Disk != "" {
+			keepers = append(keepers, members[i].Host)
+		}
+	}
+	if len(keepers) > 0 {
+		h.keepers = keepers
+	}
+}
+
 func (h *holder) redirected(t *core.Turn, m core.LeaseRedirect) {
 	if m.Leader == "" || m.Leader == h.leader {
 		return
@@ -99,7 +117,11 @@
 	if m.Version < h.tables.Version || !h.update(t, m) {
 		return
 	}
-	if until := at.Add(core.HolderTime(min(m.For, MaxTime))); until.After(h.until) {
+	lease := core.HolderTime(min(m.For, MaxTime))
+	if h.serveStale {
+		lease = endless
+	}
+	if until := at.Add(lease); until.After(h.until) {
 		h.until = until
 		t.Post(core.LeaseChanged{Until: until})
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -37,7 +37,7 @@
 	empty := &core.Tables{}
 	empty.Index()
 	p := &part{
-		holder:  holder{keepers: env.Keepers, tables: empty, next: env.Rand.Uint64() >> 1},
+		holder:  holder{serveStale: env.ServeStale, keepers: env.Keepers, tables: empty, next: env.Rand.Uint64() >> 1},
 		grantor: grantor{self: env.Self, tables: empty, holders: map[core.HostID]held{}, pending: core.Pending[waiting]{Mark: core.MarkLease}},
 		status:  map[uint64]*statusAsk{},
 	}
@@ -54,6 +54,7 @@
 		p.grantor.leaderChanged(t, e)
 	case core.MembersChanged:
 		p.grantor.hosts = len(e.Members)
+		p.holder.membersChanged(e.Members)
 	case core.ConfigApplied:
 		p.grantor.applied(t, e)
 	case core.Confirmed:
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -89,7 +89,7 @@
 func newPart(env core.Env) core.Part {
 	p := &part{
 		self: core.Member{
-			Host: env.Self, Addr: env.Addr, DataCentre: env.DataCentre, Disk: env.Disk,
+			Host: env.Self, Addr: env.Addr, DataCentre: env.DataCentre, Disk: env.Disk, Entry: env.Entry,
 			Boot: env.Boot, Incarnation: 1, State: core.MemberAlive,
 		},
 		limit: env.Limits.Hosts, seeds: env.Seeds, rand: env.Rand,
--- a/core/message.go
+++ b/core/message.go
@@ -310,3 +310,15 @@
 	Announcement *Announcement `cbor:"announcement,omitempty"`
 	Report       *Report       `cbor:"report,omitempty"`
 }
+
+// UpstreamList tells an entry host which upstreams were heard lately, where each entry host keeps its own ledger.
+type UpstreamList struct {
+	Heard []HeardUpstream `cbor:"heard"`
+	Gone  []UpstreamGone  `cbor:"gone,omitempty"`
+}
+
+// HeardUpstream is an announcement with its age at the sender.
+type HeardUpstream struct {
+	Announcement Announcement  `cbor:"announcement"`
+	Age          time.Duration `cbor:"age"`
+}
--- a/core/plugin.go
+++ b/core/plugin.go
@@ -51,6 +51,16 @@
 	Seeds []netip.AddrPort
 	// Keepers are the hosts that form the first keeper set.
 	Keepers []HostID
+	// Entry is true on a host that serves callers.
+	Entry bool
+	// Placement says who chooses upstreams for a pool's requests.
+	Placement Placement
+	// ServeStale lets a host that was cut off from the keepers serve on with the newest configuration that it has.
+	ServeStale bool
+	// Retries bounds the retries of all hosts together.
+	Retries RetryBudget
+	// Silence is how long an upstream may be silent before it gets no new work; zero means the default.
+	Silence time.Duration
 	// Rand is the kernel's only source of random numbers.
 	Rand *rand.Rand
 	// Stored is what the data folder held when the kernel was made.
@@ -73,6 +83,27 @@
 	return Limits{Requests: 4096, Upstreams: 4096, Hosts: 1024, Commands: 4096, OnceCalls: 65536}
 }
 
+// Placement says who chooses upstreams for a pool's requests.
+type Placement uint8
+
+const (
+	// PlacementPool gives each pool one dispatcher, whose ledger is exact.
+	PlacementPool Placement = iota
+	// PlacementHost lets each host choose by its own ledger, so that no other host's failure can hold a request up.
+	PlacementHost
+)
+
+// RetryBudget bounds retries to a share of the requests and a number that all hosts together may add to it.
+type RetryBudget struct {
+	Share float64
+	// Burst is divided between the hosts that serve callers if Shared is set, and each host's own otherwise.
+	Burst  float64
+	Shared bool
+}
+
+// DefaultRetries returns the budget of a host that is not told otherwise.
+func DefaultRetries() RetryBudget { return RetryBudget{Share: 0.1, Burst: 20} }
+
 var registry []Plugin
 
 // Register adds a plug-in to the ones that New takes; plug-ins call it from their init function.
--- a/core/request.go
+++ b/core/request.go
@@ -11,7 +11,8 @@
 	// Key is the hash of the key that came with the request; HasKey is false where none came.
 	Key    KeyHash
 	HasKey bool
-	// Path is the path of a call to a plain service, empty for a model request.
+	// Host and Path are of a request that a route answers for; both are empty where the caller names a model instead.
+	Host string
 	Path string
 	// Model is the model that the caller named, empty for a plain call.
 	Model PoolID
@@ -91,6 +92,12 @@
 type RunDecode struct {
 	Attempt  AttemptID
 	Upstream netip.AddrPort
+	// Instance names the upstream that is meant, since addresses are used again.
+	Instance UpstreamID
+	// Account is whose request it is, empty on an open route.
+	Account AccountID
+	// Deadline is when the whole answer is due, or zero.
+	Deadline time.Time
 	Epoch    Epoch
 	KV       KVRef
 	Max      Tokens
@@ -104,7 +111,11 @@
 type RunCall struct {
 	Attempt  AttemptID
 	Upstream netip.AddrPort
-	Timeout  time.Duration
+	// Instance names the upstream that is meant, since addresses are used again.
+	Instance UpstreamID
+	// Account is whose request it is, empty on an open route.
+	Account AccountID
+	Timeout time.Duration
 	// Fresh calls use a new connection, since an old one may have gone silent.
 	Fresh bool
 }
@@ -124,6 +135,9 @@
 	Failure *Failure
 }
 
+// BreakOff asks the traffic side to give up an attempt that runs; how it ended is no longer of interest.
+type BreakOff struct{ Attempt AttemptID }
+
 // CancelAttempt asks an engine to free everything that it holds for an attempt; CancelEnded follows.
 type CancelAttempt struct {
 	Attempt  AttemptID
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -31,10 +31,14 @@
 	DataCentre DataCentre     `cbor:"dataCentre" json:"dataCentre"`
 	// Incarnation grows with each start of the upstream.
 	Incarnation uint64 `cbor:"incarnation" json:"incarnation"`
+	// Seq grows with each announcement of an incarnation, so that a late one is told from the newest; zero means unknown.
+	Seq uint64 `cbor:"seq,omitempty" json:"seq,omitempty"`
 	// Slots is how many streams a decode engine carries, or how many calls a service takes at once.
 	Slots int `cbor:"slots" json:"slots"`
 	// Pieces is the engine's memory in units of 4,096 tokens.
-	Pieces        int  `cbor:"pieces"        json:"pieces"`
+	Pieces int `cbor:"pieces" json:"pieces"`
+	// Sized engines have the memory that the configuration says of their pool.
+	Sized         bool `cbor:"sized,omitempty" json:"sized,omitempty"`
 	ChecksSender  bool `cbor:"checksSender"  json:"checksSender"`
 	ChecksFencing bool `cbor:"checksFencing" json:"checksFencing"`
 	// Leaving upstreams get no new work.
@@ -66,7 +70,7 @@
 	if a.Slots < 1 || a.Slots > maxSlots || a.Pieces < 0 || a.Pieces > maxPieces {
 		return Fail(KindBadRequest, "slots or pieces out of range")
 	}
-	if a.Role != RoleService && a.Pieces == 0 {
+	if a.Role != RoleService && a.Pieces == 0 && !a.Sized {
 		return Fail(KindBadRequest, "pieces: an engine must have some")
 	}
 	return nil
@@ -102,6 +106,15 @@
 // UpstreamAnnounced tells that an upstream spoke to this host.
 type UpstreamAnnounced struct{ Announcement Announcement }
 
+// UpstreamGone tells that an upstream took its leave; an incarnation of zero means the one that is known.
+type UpstreamGone struct {
+	ID          UpstreamID `cbor:"id"`
+	Incarnation uint64     `cbor:"incarnation"`
+}
+
+// UpstreamsUsable tells how many upstreams this host may send work to, when that becomes none or some.
+type UpstreamsUsable struct{ Count int }
+
 // UpstreamReported tells that an upstream's report came to this host.
 type UpstreamReported struct{ Report Report }
 
@@ -140,6 +153,8 @@
 	State       MemberState `cbor:"state"       json:"state"`
 	// Leaving hosts finish their requests and take no roles.
 	Leaving bool `cbor:"leaving" json:"leaving"`
+	// Entry hosts serve callers.
+	Entry bool `cbor:"entry" json:"entry"`
 }
 
 // MemberState is what hosts believe of a host.
@@ -180,6 +195,8 @@
 	// Until is when the configuration lease runs out.
 	Until    time.Time
 	Draining bool
+	// Upstreams is true while the host knows an upstream to send work to.
+	Upstreams bool
 }
 
 // LeaseChanged tells until when the host may act on its configuration.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"io"
 	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"oleanderlever/core"
 	"oleanderlever/core/entry"
+	"oleanderlever/io/clock"
+	"oleanderlever/io/socket"
 	"oleanderlever/io/upstream"
 )
 
@@ -60,7 +61,7 @@
 	switch {
 	case st.Draining:
 		ctx.Error("draining\n", fasthttp.StatusServiceUnavailable)
-	case !time.Now().Before(st.Until):
+	case !clock.Now().Before(st.Until):
 		ctx.Error("no valid configuration\n", fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.SetBodyString("ready\n")
@@ -81,7 +82,7 @@
 	id := s.newID()
 	st := s.state.Load()
 	key, hasKey := bearerKey(&ctx.Request.Header)
-	account, f := entry.Authenticate(st.Tables, st.Until, time.Now(), hashKey(key), hasKey)
+	account, f := entry.Authenticate(st.Tables, st.Until, clock.Now(), hashKey(key), hasKey)
 	if f != nil {
 		refuse(ctx, id, f)
 		return
@@ -99,7 +100,7 @@
 // newRequest reads what all requests have in common.
 func (s *server) newRequest(ctx *fasthttp.RequestCtx) (core.Request, []byte, string, *core.Failure) {
 	key, hasKey := bearerKey(&ctx.Request.Header)
-	r := core.Request{ID: s.newID(), HasKey: hasKey, Deadline: time.Now().Add(s.settings.Requests.Timeout.Duration)}
+	r := core.Request{ID: s.newID(), HasKey: hasKey, Deadline: clock.Now().Add(s.settings.Requests.Timeout.Duration)}
 	if hasKey {
 		r.Key = hashKey(key)
 	}
@@ -186,8 +187,8 @@
 // answer runs the exchange and gives its one answer to the caller.
 func (s *server) answer(ctx *fasthttp.RequestCtx, x *exchange, r core.Request) {
 	var gone <-chan struct{}
-	if c, ok := ctx.Conn().(*watchedConn); ok {
-		gone = c.gone
+	if c, ok := ctx.Conn().(*socket.Watched); ok {
+		gone = c.Gone
 	}
 	if !s.begin(x, r, gone) {
 		refuse(ctx, x.id, core.Fail(core.KindOverloaded, "the host is overloaded"))
--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -16,6 +16,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/control"
 	"oleanderlever/io/settings"
+	"oleanderlever/io/socket"
 	"oleanderlever/io/upstream"
 )
 
@@ -59,7 +60,7 @@
 	s.state.Store(&core.PublishState{Tables: &core.Tables{}})
 	web := s.web()
 	return control.Instance{
-		Start: func() { go func() { _ = web.Serve(watchedListener{l}) }() },
+		Start: func() { go func() { _ = web.Serve(socket.WatchedListener{Listener: l, Stall: stallTimeout}) }() },
 		Do:    s.perform,
 		Close: func() {
 			_ = l.Close()
--- /dev/null
+++ b/io/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock tells the time that leases count on.
+package clock
--- a/io/console/host.go
+++ b/io/console/host.go
@@ -7,8 +7,8 @@
 	"syscall"
 
 	"oleanderlever/io/daemon"
-	"oleanderlever/io/platform"
 	"oleanderlever/io/settings"
+	"oleanderlever/io/telemetry"
 )
 
 type hostCommand struct {
@@ -22,7 +22,7 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, err := platform.NewLog(os.Stdout, s.LogLevel, s.Host)
+	log, err := telemetry.NewLog(os.Stdout, s.LogLevel, s.Host)
 	if err != nil {
 		return err
 	}
--- a/io/control/loop.go
+++ b/io/control/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderlever/core"
+	"oleanderlever/io/clock"
 )
 
 // mailboxSize bounds the events that wait for the control goroutine.
@@ -95,7 +96,7 @@
 func (l *Loop) arm(timer *time.Timer) {
 	wait := idle
 	if next := l.kernel.NextDeadline(); !next.IsZero() {
-		wait = max(0, time.Until(next))
+		wait = max(0, clock.Until(next))
 	}
 	timer.Reset(wait)
 }
@@ -106,7 +107,7 @@
 		close(q.done)
 		return
 	}
-	for _, a := range l.kernel.Step(time.Now(), ev) {
+	for _, a := range l.kernel.Step(clock.Now(), ev) {
 		l.perform(a)
 	}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -24,12 +24,13 @@
 	_ "oleanderlever/core/once"
 	_ "oleanderlever/core/order"
 	_ "oleanderlever/core/quota"
+	_ "oleanderlever/core/registry"
 	_ "oleanderlever/core/replica"
 	_ "oleanderlever/io/caller"
 	_ "oleanderlever/io/disk"
 	_ "oleanderlever/io/host"
 	_ "oleanderlever/io/operator"
-	_ "oleanderlever/io/platform"
+	_ "oleanderlever/io/telemetry"
 	_ "oleanderlever/io/upstream"
 )
 
@@ -50,7 +51,8 @@
 	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log}, drained: make(chan struct{})}
 	d.host.Env = core.Env{
 		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.Hosts, Boot: boot,
-		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(),
+		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(), Retries: core.DefaultRetries(),
+		Entry: s.HasRole(settings.RoleEntry),
 	}
 	for _, k := range s.Keepers {
 		d.host.Env.Keepers = append(d.host.Env.Keepers, core.HostID(k))
--- a/io/daemon/loopback.go
+++ b/io/daemon/loopback.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"oleanderlever/io/platform"
 	"oleanderlever/io/settings"
+	"oleanderlever/io/telemetry"
 )
 
 // Loopback is several hosts in one process, for demos, measurements and tests.
@@ -39,7 +39,7 @@
 		for _, change := range adjust {
 			change(s)
 		}
-		l, err := platform.NewLog(log, s.LogLevel, s.Host)
+		l, err := telemetry.NewLog(log, s.LogLevel, s.Host)
 		if err != nil {
 			return f, err
 		}
--- a/io/disk/lock.go
+++ b/io/disk/lock.go
@@ -16,7 +16,10 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
-		return errors.Wrapf(err, "%s: another process uses the data folder", s.folder)
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return errors.Wrapf(err, "%s: another process uses the data folder", s.folder)
+		}
+		return errors.Wrapf(err, "%s: the data folder can't be locked", s.folder)
 	}
 	s.lock = f
 	return nil
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -56,6 +56,7 @@
 	wire[core.OrderWanted](32),
 	wire[core.TakeOver](33),
 	wire[core.ShiftWanted](34),
+	wire[core.UpstreamList](35),
 }
 
 var (
--- a/io/caller/conn.go
+++ b/io/socket/watched.go
@@ -1,4 +1,4 @@
-package caller
+package socket
 
 import (
 	"io"
@@ -11,11 +11,15 @@
 // readAhead bounds what is read from a caller before the server asks for it.
 const readAhead = 64 << 10
 
-// watchedListener wraps the connections that it accepts.
-type watchedListener struct{ net.Listener }
+// WatchedListener wraps the connections that it accepts.
+type WatchedListener struct {
+	net.Listener
+	// Stall is how long the other end may take none of what is written before the connection fails.
+	Stall time.Duration
+}
 
 // Accept returns a connection that notices when its caller goes.
-func (l watchedListener) Accept() (net.Conn, error) {
+func (l WatchedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -23,11 +27,12 @@
 	return newWatchedConn(conn), nil
 }
 
-// watchedConn reads ahead of the HTTP server, since the server does not look at a connection while a handler runs.
+// Watched reads ahead of its server, since a server does not look at a connection while it computes an answer.
 // Bytes of a pipelined request stay in the buffer, so none is lost.
-type watchedConn struct {
+type Watched struct {
 	net.Conn
-	gone chan struct{}
+	// Gone is closed when the other end has closed the connection or it broke.
+	Gone chan struct{}
 
 	mu       sync.Mutex
 	buf      []byte
@@ -37,15 +42,16 @@
 	filled  chan struct{}
 	drained chan struct{}
 	closed  sync.Once
+	stall   time.Duration
 }
 
-func newWatchedConn(conn net.Conn) *watchedConn {
-	c := &watchedConn{Conn: conn, gone: make(chan struct{}), filled: make(chan struct{}, 1), drained: make(chan struct{}, 1)}
+func newWatchedConn(conn net.Conn) *Watched {
+	c := &Watched{Conn: conn, Gone: make(chan struct{}), filled: make(chan struct{}, 1), drained: make(chan struct{}, 1)}
 	go c.readAhead()
 	return c
 }
 
-func (c *watchedConn) readAhead() {
+func (c *Watched) readAhead() {
 	block := make([]byte, 4096)
 	for {
 		n, err := c.Conn.Read(block)
@@ -58,7 +64,7 @@
 		c.mu.Unlock()
 		wake(c.filled)
 		if err != nil {
-			close(c.gone)
+			close(c.Gone)
 			return
 		}
 		for full {
@@ -78,7 +84,7 @@
 }
 
 // Read returns what was read ahead, or waits for it until the deadline.
-func (c *watchedConn) Read(b []byte) (int, error) {
+func (c *Watched) Read(b []byte) (int, error) {
 	for {
 		c.mu.Lock()
 		n := copy(b, c.buf)
@@ -99,7 +105,7 @@
 }
 
 // wait returns false when the deadline comes before the next bytes.
-func (c *watchedConn) wait(deadline time.Time) bool {
+func (c *Watched) wait(deadline time.Time) bool {
 	if deadline.IsZero() {
 		<-c.filled
 		return true
@@ -115,7 +121,7 @@
 }
 
 // SetReadDeadline bounds the next reads.
-func (c *watchedConn) SetReadDeadline(t time.Time) error {
+func (c *Watched) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	c.deadline = t
 	c.mu.Unlock()
@@ -124,21 +130,21 @@
 }
 
 // Write gives each write its own deadline: a long stream is fine as long as the caller takes it.
-func (c *watchedConn) Write(b []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+func (c *Watched) Write(b []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
 }
 
 // SetWriteDeadline does nothing, since Write sets its own.
-func (c *watchedConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *Watched) SetWriteDeadline(time.Time) error { return nil }
 
 // SetDeadline bounds the next reads.
-func (c *watchedConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+func (c *Watched) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
 // Close closes the connection and ends the reading ahead.
-func (c *watchedConn) Close() error {
+func (c *Watched) Close() error {
 	err := c.Conn.Close()
 	c.closed.Do(func() {
 		c.mu.Lock()
--- /dev/null
+++ b/io/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry writes log lines and serves metrics.
+package telemetry
--- a/io/platform/log.go
+++ b/io/telemetry/log.go
@@ -1,4 +1,4 @@
-package platform
+package telemetry
 
 import (
 	"io"
--- a/io/platform/peer.go
+++ b/io/telemetry/peer.go
@@ -1,4 +1,4 @@
-package platform
+package telemetry
 
 import (
 	"expvar"
@@ -18,7 +18,7 @@
 	headerTimeout = 5 * time.Second
 )
 
-func init() { control.Register(control.Peer{Name: "platform", Rank: rank, Open: open}) }
+func init() { control.Register(control.Peer{Name: "telemetry", Rank: rank, Open: open}) }
 
 func open(h *control.Host) (control.Instance, error) {
 	i := control.Instance{Do: func(a core.Action) {
--- a/io/upstream/peer.go
+++ b/io/upstream/peer.go
@@ -10,6 +10,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
+	"oleanderlever/io/clock"
 	"oleanderlever/io/control"
 )
 
@@ -82,7 +83,7 @@
 // send sends an order, unless the time in which the leader may give it has passed while the goroutine waited.
 func (c *orders) send(a core.SendOrder) {
 	f := core.Fail(core.KindDeadline, "the order came too late")
-	if time.Now().Before(a.Until) {
+	if clock.Now().Before(a.Until) {
 		f = c.client.Order(a.Upstream, a.Order, a.Timeout)
 	}
 	c.loop.Post(core.OrderEnded{Upstream: a.Order.Assignment.Upstream, Epoch: a.Order.Epoch, Failure: f})
