--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -32,6 +32,7 @@
 	budgets  map[core.PoolID]*budget
 	draining bool
 	drained  bool
+	lameDuck bool
 	// upstreams is true while there is one to send work to.
 	upstreams bool
 	// list is when the dispatchers are next told what this host has.
@@ -98,6 +99,9 @@
 	case core.UpstreamsUsable:
 		p.upstreams = e.Count > 0
 		p.publish(t)
+	case core.LameDuck:
+		p.lameDuck = true
+		p.publish(t)
 	case core.Draining:
 		p.draining = true
 		p.publish(t)
@@ -123,7 +127,7 @@
 }
 
 func (p *part) publish(t *core.Turn) {
-	t.Do(core.PublishState{Tables: p.tables, Until: p.until, Draining: p.draining, Upstreams: p.upstreams})
+	t.Do(core.PublishState{Tables: p.tables, Until: p.until, Draining: p.draining || p.lameDuck, Upstreams: p.upstreams})
 }
 
 func (p *part) arrived(t *core.Turn, r core.Request) {
@@ -152,7 +156,7 @@
 	})
 	p.requests[r.ID] = rq
 	p.arm(rq)
-	if a.account.ID == "" || a.cost == 0 {
+	if a.account.ID == "" || a.account.Unlimited || a.cost == 0 {
 		p.quotaTaken(t, r.ID)
 		return
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -109,6 +109,8 @@
 		p.tick(t)
 	case core.Tick:
 		p.tick(t)
+	case core.SeedsChanged:
+		p.seeds = e.Seeds
 	case core.Draining:
 		p.self.Leaving = true
 		p.self.Incarnation++
--- a/core/request.go
+++ b/core/request.go
@@ -151,6 +151,10 @@
 	OK       bool
 }
 
+// LameDuck tells the parts that the host will shut down soon: it says that it is not ready, but still takes requests from
+// callers that have not heard of it.
+type LameDuck struct{}
+
 // Draining tells the parts that the host is shutting down gracefully.
 type Draining struct{}
 
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -171,6 +171,9 @@
 // MembersChanged tells which hosts are alive or suspect, in order of their IDs, the own one among them.
 type MembersChanged struct{ Members []Member }
 
+// SeedsChanged tells that the hosts to meet first are others now.
+type SeedsChanged struct{ Seeds []netip.AddrPort }
+
 // PeersChanged tells the outside where the other hosts are.
 type PeersChanged struct{ Peers []Member }
 
--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -46,7 +46,7 @@
 }
 
 func open(h *control.Host) (control.Instance, error) {
-	if !h.Settings.HasRole(settings.RoleEntry) {
+	if !h.Settings.HasRole(settings.RoleEntry) || !h.Settings.Listen.Callers.IsValid() {
 		return control.Instance{}, nil
 	}
 	l, err := net.Listen("tcp", h.Settings.Listen.Callers.String())
--- a/io/console/console.go
+++ b/io/console/console.go
@@ -51,6 +51,12 @@
 	return report(os.Stderr, err)
 }
 
+// exitSettings is the exit code for settings that are missing or wrong.
+const exitSettings = 2
+
+// errSettings marks errors of the settings file.
+var errSettings = errors.New("settings")
+
 func report(w io.Writer, err error) int {
 	if err == nil {
 		return 0
@@ -61,6 +67,9 @@
 		return 0
 	}
 	_, _ = io.WriteString(w, "oleanderlever: "+err.Error()+"\n")
+	if errors.Is(err, errSettings) {
+		return exitSettings
+	}
 	return 1
 }
 
--- a/io/control/peer.go
+++ b/io/control/peer.go
@@ -17,6 +17,8 @@
 	Settings *settings.Host
 	Loop     *Loop
 	Log      zerolog.Logger
+	// Asker asks the kernel questions that an action answers.
+	Asker *Asker
 	// Env becomes the kernel's; peers of low rank fill it in.
 	Env core.Env
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	randv2 "math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	_ "oleanderlever/io/operator"
 	_ "oleanderlever/io/telemetry"
 	_ "oleanderlever/io/upstream"
+	_ "oleanderlever/platform"
 )
 
 // Daemon is a running host.
@@ -48,15 +50,16 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log}, drained: make(chan struct{})}
+	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log, Asker: control.NewAsker()}, drained: make(chan struct{})}
 	d.host.Env = core.Env{
 		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.Hosts, Boot: boot,
 		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(), Retries: core.DefaultRetries(),
 		Entry: s.HasRole(settings.RoleEntry),
 	}
-	for _, k := range s.Keepers {
+	for _, k := range s.FirstKeepers() {
 		d.host.Env.Keepers = append(d.host.Env.Keepers, core.HostID(k))
 	}
+	applyPolicy(&d.host.Env, s)
 	for _, p := range control.Peers() {
 		instance, err := p.Open(d.host)
 		if err != nil {
@@ -75,6 +78,25 @@
 	return d, nil
 }
 
+const (
+	// missedBeats is how many announcements an upstream may miss before it counts as silent: one may come seconds late.
+	missedBeats = 4
+	// retryMargin is the part of the allowed retries that the hosts use: what one host can't see leaves the rest.
+	retryMargin = 0.6
+)
+
+// applyPolicy gives the kernel what the settings say of placement, cuts and retries.
+func applyPolicy(env *core.Env, s *settings.Host) {
+	env.ServeStale = s.ServeStale
+	env.Silence = missedBeats * s.UpstreamBeat.Duration
+	if s.Placement == settings.PlacementHost {
+		env.Placement = core.PlacementHost
+	}
+	if s.Retries.Share > 0 {
+		env.Retries = core.RetryBudget{Share: retryMargin * s.Retries.Share, Burst: retryMargin * s.Retries.Burst, Shared: true}
+	}
+}
+
 // newRand seeds the kernel's generator from the system and takes the start's number from the clock.
 func newRand() (*randv2.Rand, uint64, error) {
 	var seed [16]byte
@@ -87,6 +109,7 @@
 
 // perform gives an action to every peer, on the control goroutine.
 func (d *Daemon) perform(a core.Action) {
+	d.host.Asker.Give(a)
 	if _, ok := a.(core.Drained); ok {
 		d.once.Do(func() { close(d.drained) })
 	}
@@ -102,6 +125,13 @@
 
 // Drain shuts down gracefully: no new requests, and the running ones to their end or until the context ends.
 func (d *Daemon) Drain(ctx context.Context) {
+	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
+		d.host.Loop.Post(core.LameDuck{})
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
 	d.host.Loop.Post(core.Draining{})
 	select {
 	case <-d.drained:
@@ -109,6 +139,11 @@
 	}
 }
 
+// SeedsChanged tells the kernel of other hosts to meet first.
+func (d *Daemon) SeedsChanged(seeds []netip.AddrPort) {
+	d.host.Loop.Post(core.SeedsChanged{Seeds: seeds})
+}
+
 // Close ends the host at once; call Drain before for a graceful end.
 func (d *Daemon) Close() {
 	d.closePeers()
--- a/io/host/peer.go
+++ b/io/host/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
 	"oleanderlever/io/control"
+	"oleanderlever/io/socket"
 )
 
 const (
@@ -30,7 +30,7 @@
 type server struct{ loop *control.Loop }
 
 func open(h *control.Host) (control.Instance, error) {
-	l, err := net.Listen("tcp", h.Settings.Listen.Hosts.String())
+	l, err := socket.Listen(h.Settings.Listen.Hosts)
 	if err != nil {
 		return control.Instance{}, errors.Wrap(err, "listen.hosts")
 	}
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
+	"oleanderlever/io/socket"
 )
 
 const (
@@ -98,7 +98,7 @@
 }
 
 func (t *transport) dial(addr netip.AddrPort) *link {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := socket.Dialer(dialTimeout)
 	h := &http.Transport{TLSClientConfig: t.tls, DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleLink}
 	l := &link{t: t, addr: addr, http: h, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
 	client := &http.Client{Transport: &bearer.Transport{Base: h, Secret: t.secret}, Timeout: callTimeout}
--- a/io/operator/peer.go
+++ b/io/operator/peer.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,15 +31,15 @@
 
 // server passes operators' calls to the core and waits for its answers.
 type server struct {
-	self core.HostID
-	loop *control.Loop
-
-	mu      sync.Mutex
-	ticket  uint64
-	waiting map[uint64]chan core.Action
+	self  core.HostID
+	loop  *control.Loop
+	asker *control.Asker
 }
 
 func open(h *control.Host) (control.Instance, error) {
+	if !h.Settings.Listen.Operators.IsValid() {
+		return control.Instance{}, nil
+	}
 	l, err := net.Listen("tcp", h.Settings.Listen.Operators.String())
 	if err != nil {
 		return control.Instance{}, errors.Wrap(err, "listen.operators")
@@ -52,12 +51,11 @@
 		}
 		l = tls.NewListener(l, secure)
 	}
-	s := &server{self: core.HostID(h.Settings.Host), loop: h.Loop, waiting: map[uint64]chan core.Action{}}
+	s := &server{self: core.HostID(h.Settings.Host), loop: h.Loop, asker: h.Asker}
 	handler := http.MaxBytesHandler(NewOperatorServer(s), maxRequestBytes)
 	web := &http.Server{Handler: authenticate(h.Settings.Credentials.Operators, handler), ReadHeaderTimeout: headerTimeout}
 	return control.Instance{
 		Start: func() { go func() { _ = web.Serve(l) }() },
-		Do:    s.perform,
 		Close: func() { _ = web.Close() },
 	}, nil
 }
@@ -92,46 +90,16 @@
 	return found, found != ""
 }
 
-func (s *server) perform(a core.Action) {
-	switch a := a.(type) {
-	case core.OperatorAnswer:
-		s.give(a.Ticket, a)
-	case core.StatusAnswer:
-		s.give(a.Ticket, a)
-	}
-}
-
-func (s *server) give(ticket uint64, a core.Action) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c := s.waiting[ticket]; c != nil {
-		c <- a
-		delete(s.waiting, ticket)
-	}
-}
-
-// ask posts an event that carries a ticket and waits for the action that answers it.
+// ask asks the kernel a question in the name of a call.
 func (s *server) ask(ctx context.Context, event func(ticket uint64) core.Event) (core.Action, error) {
-	answer := make(chan core.Action, 1)
-	s.mu.Lock()
-	s.ticket++
-	ticket := s.ticket
-	s.waiting[ticket] = answer
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.waiting, ticket)
-		s.mu.Unlock()
-	}()
-	if !s.loop.TryPost(event(ticket)) {
-		return nil, toTwirp(core.Fail(core.KindOverloaded, "the mailbox is full"))
+	a, f := s.asker.Ask(ctx, s.loop, event)
+	if f != nil {
+		return nil, toTwirp(f)
 	}
-	select {
-	case a := <-answer:
-		return a, nil
-	case <-ctx.Done():
+	if a == nil {
 		return nil, twirp.NewError(twirp.Canceled, "the operator is gone")
 	}
+	return a, nil
 }
 
 // Apply makes one change of the configuration.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -39,8 +39,26 @@
 	Roles      []Role `toml:"roles"`
 	// Keepers are the hosts that form the first keeper set, the same list on every host.
 	Keepers []string `toml:"keepers"`
+	// KeepersFrom says where the first keeper set comes from: the list above, or the seeds.
+	KeepersFrom Source `toml:"keepersFrom"`
+	// Bootstrap lets the seeds form the keeper set; it is true only at the very first start of the whole system.
+	Bootstrap bool `toml:"bootstrap"`
 	// Seeds are the addresses of other hosts to meet first.
 	Seeds []netip.AddrPort `toml:"seeds"`
+	// SeedPort replaces the ports in Seeds, where these are of another service on the same machines; 0 keeps them.
+	SeedPort uint16 `toml:"seedPort"`
+	// TrustNetwork allows listeners beyond loopback without credentials.
+	TrustNetwork bool `toml:"trustNetwork"`
+	// Placement says who chooses upstreams: a dispatcher for each pool, or each host for its own requests.
+	Placement Placement `toml:"placement"`
+	// ServeStale lets a host that was cut off serve on with the newest configuration that it has.
+	ServeStale bool `toml:"serveStale"`
+	// UpstreamBeat is how often upstreams announce themselves; after four missed beats one counts as silent.
+	UpstreamBeat Duration `toml:"upstreamBeat"`
+	// MemoryMB is what the process may use at most; the garbage collector keeps well below.
+	MemoryMB int64    `toml:"memoryMB"`
+	Retries  Retries  `toml:"retries"`
+	Platform Platform `toml:"platform"`
 	// DataFolder holds a keeper's durable state.
 	DataFolder  string      `toml:"dataFolder"`
 	Listen      Listen      `toml:"listen"`
@@ -50,6 +68,42 @@
 	LogLevel    string      `toml:"logLevel"`
 }
 
+// Source says where a list comes from.
+type Source string
+
+// The sources of the first keeper set.
+const (
+	SourceList  Source = "list"
+	SourceSeeds Source = "seeds"
+)
+
+// Placement says who chooses upstreams.
+type Placement string
+
+// The ways to choose upstreams.
+const (
+	PlacementPool Placement = "pool"
+	PlacementHost Placement = "host"
+)
+
+// Retries bounds the retries of all hosts together.
+type Retries struct {
+	// Share is how many retries a request earns.
+	Share float64 `toml:"share"`
+	// Burst is how many retries all hosts together may add to it within a short time.
+	Burst float64 `toml:"burst"`
+}
+
+// Platform is the addresses on which a host serves a platform's callers, its balancer, and its upstreams and operators.
+type Platform struct {
+	Callers netip.AddrPort `toml:"callers"`
+	Ready   netip.AddrPort `toml:"ready"`
+	Control netip.AddrPort `toml:"control"`
+}
+
+// IsSet reports whether the host serves a platform, in place of callers, upstreams and operators of its own.
+func (p Platform) IsSet() bool { return p.Callers.IsValid() || p.Control.IsValid() }
+
 // Listen is the addresses on which a host serves its peers.
 type Listen struct {
 	Callers   netip.AddrPort `toml:"callers"`
@@ -84,6 +138,8 @@
 	ReadTimeout Duration `toml:"readTimeout"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout Duration `toml:"drainTimeout"`
+	// LameDuck is how long a host that shuts down still takes requests while it says that it is not ready.
+	LameDuck Duration `toml:"lameDuck"`
 }
 
 // Default values of optional settings.
@@ -114,6 +170,7 @@
 		return nil, explain(err)
 	}
 	h.FillDefaults()
+	h.applySeedPort()
 	for _, check := range checks {
 		if name, problem := check(h); problem != "" {
 			return nil, errors.Newf("line %d: %s: %s", lineOf(text, name), name, problem)
@@ -165,6 +222,33 @@
 	setDefault(&h.Requests.Timeout, Duration{defaultTimeout})
 	setDefault(&h.Requests.ReadTimeout, Duration{defaultReadTimeout})
 	setDefault(&h.Requests.DrainTimeout, Duration{defaultDrainTimeout})
+	setDefault(&h.KeepersFrom, SourceList)
+	setDefault(&h.Placement, PlacementPool)
+}
+
+// applySeedPort gives the seeds the port on which hosts speak to each other.
+func (h *Host) applySeedPort() {
+	if h.SeedPort == 0 {
+		return
+	}
+	for i, s := range h.Seeds {
+		h.Seeds[i] = netip.AddrPortFrom(s.Addr(), h.SeedPort)
+	}
+}
+
+// FirstKeepers returns the hosts that form the first keeper set. Where the seeds form it, a host is named by its IP number.
+func (h *Host) FirstKeepers() []string {
+	if h.KeepersFrom == SourceList {
+		return h.Keepers
+	}
+	if !h.Bootstrap {
+		return nil
+	}
+	var out []string
+	for _, s := range h.Seeds {
+		out = append(out, s.Addr().String())
+	}
+	return out
 }
 
 func setDefault[T comparable](p *T, value T) {
@@ -179,7 +263,7 @@
 
 // checks return the name of a setting and what is wrong with it, or two empty texts.
 var checks = []func(h *Host) (name, problem string){
-	checkNames, checkRoles, checkKeepers, checkListen, checkTLS, checkExposed, checkCredentials, checkRequests,
+	checkNames, checkRoles, checkKeepers, checkListen, checkTLS, checkExposed, checkCredentials, checkRequests, checkPlacement,
 }
 
 func checkNames(h *Host) (string, string) {
@@ -211,6 +295,13 @@
 }
 
 func checkKeepers(h *Host) (string, string) {
+	switch h.KeepersFrom {
+	case SourceList:
+	case SourceSeeds:
+		return checkSeedKeepers(h)
+	default:
+		return "keepersFrom", `want "list" or "seeds"`
+	}
 	if len(h.Keepers) == 0 {
 		return "keepers", "is missing"
 	}
@@ -223,11 +314,36 @@
 	return "", ""
 }
 
+func checkSeedKeepers(h *Host) (string, string) {
+	switch {
+	case len(h.Keepers) > 0:
+		return "keepers", "is set, but the seeds form the keeper set"
+	case len(h.Seeds) == 0:
+		return "seeds", "is missing"
+	case h.Host != h.Listen.Hosts.Addr().String():
+		return "host", "must be the IP number of listen.hosts where the seeds form the keeper set"
+	}
+	return "", ""
+}
+
+func checkPlacement(h *Host) (string, string) {
+	if h.Placement != PlacementPool && h.Placement != PlacementHost {
+		return "placement", `want "pool" or "host"`
+	}
+	if h.Retries.Share < 0 || h.Retries.Burst < 0 {
+		return "retries", "must not be negative"
+	}
+	if h.MemoryMB < 0 {
+		return "memoryMB", "must not be negative"
+	}
+	return "", ""
+}
+
 func checkListen(h *Host) (string, string) {
 	seen := map[netip.AddrPort]string{}
 	for _, l := range h.listeners() {
 		if !l.addr.IsValid() {
-			if l.name == "listen.metrics" || (l.name == "listen.callers" && !h.HasRole(RoleEntry)) {
+			if h.mayLack(l.name) {
 				continue
 			}
 			return l.name, "is missing"
@@ -240,6 +356,19 @@
 	return "", ""
 }
 
+// mayLack reports whether a listener is optional.
+func (h *Host) mayLack(name string) bool {
+	switch name {
+	case "listen.metrics":
+		return true
+	case "listen.callers":
+		return h.Platform.IsSet() || !h.HasRole(RoleEntry)
+	case "listen.upstreams", "listen.operators":
+		return h.Platform.IsSet()
+	}
+	return false
+}
+
 type listener struct {
 	name string
 	addr netip.AddrPort
@@ -257,6 +386,9 @@
 
 // checkExposed refuses listeners beyond loopback that anybody could use.
 func checkExposed(h *Host) (string, string) {
+	if h.TrustNetwork {
+		return "", ""
+	}
 	for _, l := range h.listeners() {
 		open := (l.name == "listen.upstreams" && h.Credentials.UpstreamSecret == "") ||
 			(l.name == "listen.hosts" && h.Credentials.HostSecret == "" && !h.TLS.IsSet()) ||
--- a/io/socket/watched.go
+++ b/io/socket/watched.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newWatchedConn(conn), nil
+	return newWatched(conn, l.Stall), nil
 }
 
 // Watched reads ahead of its server, since a server does not look at a connection while it computes an answer.
@@ -45,8 +45,8 @@
 	stall   time.Duration
 }
 
-func newWatchedConn(conn net.Conn) *Watched {
-	c := &Watched{Conn: conn, Gone: make(chan struct{}), filled: make(chan struct{}, 1), drained: make(chan struct{}, 1)}
+func newWatched(conn net.Conn, stall time.Duration) *Watched {
+	c := &Watched{Conn: conn, stall: stall, Gone: make(chan struct{}), filled: make(chan struct{}, 1), drained: make(chan struct{}, 1)}
 	go c.readAhead()
 	return c
 }
--- a/io/upstream/peer.go
+++ b/io/upstream/peer.go
@@ -32,6 +32,9 @@
 }
 
 func open(h *control.Host) (control.Instance, error) {
+	if !h.Settings.Listen.Upstreams.IsValid() {
+		return control.Instance{}, nil
+	}
 	l, err := net.Listen("tcp", h.Settings.Listen.Upstreams.String())
 	if err != nil {
 		return control.Instance{}, errors.Wrap(err, "listen.upstreams")
