core: engines are placed by a dispatcher, plain services by each host; hosts do without a dispatcher that is silent

Ruled out: the number of engines (8 decode engines hold about 79 answers, 60 run) and the way there (first arrival 20 ms after the request). PlacementMixed keeps one exact ledger for a pool of engines, reserves memory by the caller's guess of the answer's length, and has prompts read by prefill engines. An ask that gets no word within 100 ms is placed by the host's own ledger, and the dispatcher is left alone for a second; it learns of such attempts from the host's lists.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -31,7 +31,7 @@
 	tables  *core.Tables
 	members []core.Member
 	owners  Owners
-	// local is true where this host keeps a ledger for its own requests only.
+	// local is true where every host keeps a ledger, for its own requests at least.
 	local   bool
 	silence time.Duration
 	rand    *rand.Rand
@@ -52,7 +52,7 @@
 func newPart(env core.Env) core.Part {
 	p := &part{
 		self: env.Self, limits: env.Limits, tables: &core.Tables{}, owners: OwnersFor(env),
-		local: env.Placement == core.PlacementHost, silence: env.Silence, rand: env.Rand,
+		local: env.Placement != core.PlacementPool, silence: env.Silence, rand: env.Rand,
 		pools: map[core.PoolID]*pool{}, cancels: map[cancelKey]*cancel{},
 	}
 	if p.silence == 0 {
@@ -108,7 +108,7 @@
 		// The registry tells every entry host.
 		return
 	}
-	if owner, ok := p.owners.Of(id, p.members); ok {
+	if owner, ok := p.owners.Of(id, false, p.members); ok {
 		t.Send(owner.Host, m)
 	}
 }
@@ -193,7 +193,12 @@
 			}
 		}
 		p.serve(t, pl)
-		if owner, ok := p.owners.Of(id, p.members); ok && owner.Host != p.self {
+		owner, ok := p.owners.Of(id, pl.engine == nil, p.members)
+		switch {
+		case !ok || owner.Host == p.self:
+		case p.local:
+			p.giveUp(t, pl)
+		default:
 			p.handOver(t, pl, owner.Host)
 		}
 	}
@@ -211,6 +216,18 @@
 	delete(p.pools, pl.id)
 }
 
+// giveUp forgets what a pool's ledger held for other hosts, whose attempts another host dispatches now.
+func (p *part) giveUp(t *core.Turn, pl *pool) {
+	foreign := func(w *waiting) bool { return w.from != p.self }
+	pl.fresh.takeOut(foreign)
+	pl.late.takeOut(foreign)
+	for _, a := range sortedAttempts(pl.held) {
+		if h := pl.held[a]; h.from != p.self {
+			pl.release(h, t.Now)
+		}
+	}
+}
+
 func (p *part) tick(t *core.Turn) {
 	if !core.Due(p.sweep, t.Now) {
 		return
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -20,24 +20,38 @@
 	return Owners{placement: env.Placement, self: env.Self, boot: env.Boot}
 }
 
-// Of returns the host that dispatches a pool.
-func (o Owners) Of(pool core.PoolID, members []core.Member) (core.Member, bool) {
-	if o.placement == core.PlacementHost {
-		return core.Member{Host: o.self, Boot: o.boot}, true
+// Of returns the host that dispatches a pool; plain pools are those without engines.
+func (o Owners) Of(pool core.PoolID, plain bool, members []core.Member) (core.Member, bool) {
+	if o.placement == core.PlacementHost || (o.placement == core.PlacementMixed && plain) {
+		return o.Self(), true
+	}
+	if o.placement == core.PlacementMixed {
+		return ownerOf(pool, members, func(m *core.Member) bool { return m.Entry })
 	}
 	return Owner(pool, members)
 }
 
+// Self returns the own host, as the one that places by its own ledger.
+func (o Owners) Self() core.Member { return core.Member{Host: o.self, Boot: o.boot} }
+
+// FallBack reports whether a host places by its own ledger where the dispatcher does not answer.
+func (o Owners) FallBack() bool { return o.placement == core.PlacementMixed }
+
 // Owner returns the host that dispatches a pool: the one with the highest hash of pool and host. When a host comes or
 // goes, only the pools that it wins or had change hands. A ring of hosts was rejected: with few hosts it spreads pools
 // less evenly and needs points to be kept.
 func Owner(pool core.PoolID, members []core.Member) (core.Member, bool) {
+	return ownerOf(pool, members, func(*core.Member) bool { return true })
+}
+
+func ownerOf(pool core.PoolID, members []core.Member, may func(*core.Member) bool) (core.Member, bool) {
 	var best core.Member
 	var top uint64
 	found := false
-	for _, m := range members {
-		if s := score(pool, m.Host); !m.Leaving && (!found || s > top) {
-			best, top, found = m, s, true
+	for i := range members {
+		m := &members[i]
+		if s := score(pool, m.Host); may(m) && !m.Leaving && (!found || s > top) {
+			best, top, found = *m, s, true
 		}
 	}
 	return best, found
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -17,6 +17,7 @@
 		return
 	}
 	if pl.fresh.has(m.Attempt) || pl.late.has(m.Attempt) {
+		p.tellQueued(t, from, m.Attempt)
 		return
 	}
 	if pl.waiting() >= p.limits.Requests {
@@ -27,6 +28,15 @@
 	w.rank = w.arrived.Add(shortFirst * pl.pace.backlog(m.Prompt))
 	pl.fresh.push(w)
 	p.serve(t, pl)
+	if pl.held[m.Attempt] == nil {
+		p.tellQueued(t, from, m.Attempt)
+	}
+}
+
+func (p *part) tellQueued(t *core.Turn, to core.HostID, a core.AttemptID) {
+	if p.owners.FallBack() && to != p.self {
+		t.Send(to, core.PlaceQueued{Attempt: a})
+	}
 }
 
 // serve places attempts until none finds room.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -93,8 +93,8 @@
 }
 
 func lessBusy(a, b *upstream) bool {
-	if x, y := a.slots*b.Slots, b.slots*a.Slots; x != y {
-		return x < y
+	if a.fill != b.fill {
+		return a.fill < b.fill
 	}
 	if a.turn != b.turn {
 		return a.turn < b.turn
@@ -111,6 +111,7 @@
 
 // refresh puts an upstream where its load and its state belong.
 func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
+	p.measure(u)
 	usable := u.usable(p.heardUpTo(now), now, p.silence, policy)
 	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
 		p.answering.Fix(u)
@@ -132,6 +133,14 @@
 	return now
 }
 
+// measure takes how full an upstream is. Memory counts where the configuration tells its size exactly.
+func (p *pool) measure(u *upstream) {
+	u.fill = float64(u.slots) / float64(u.Slots)
+	if p.engine != nil && u.Sized && p.engine.Memory > 0 {
+		u.fill = max(u.fill, float64(u.memory)/float64(p.engine.Memory))
+	}
+}
+
 // refreshAll drops what has fallen silent and takes back what has recovered.
 func (p *pool) refreshAll(now time.Time, policy core.UpstreamPolicy) {
 	for _, u := range p.upstreams {
@@ -141,6 +150,7 @@
 
 // moved restores the order after an upstream's load has changed.
 func (p *pool) moved(u *upstream) {
+	p.measure(u)
 	if u.answeringAt >= 0 {
 		p.answering.Fix(u)
 	}
@@ -199,7 +209,8 @@
 	}
 	h := &held{ask: w.ask, from: w.from, memory: memory, placed: core.Placed{Attempt: w.ask.Attempt, Pool: p.id, Epoch: epoch}}
 	h.placed.Decode, h.placed.DecodeAddr = answer.best.ID, answer.best.Addr
-	if w.ask.Service || p.readsItself() {
+	if w.ask.Service || (p.engine != nil && p.prefilling.Len() == 0) {
+		// Engines whose memory the configuration tells read prompts by themselves, only more slowly.
 		p.reserve(h, now)
 		return h, answer, verdictPlaced
 	}
@@ -229,7 +240,7 @@
 			if slices.Contains(w.ask.Avoid, u.ID) {
 				into = &avoided
 			}
-			into.add(u, float64(u.slots)/float64(u.Slots))
+			into.add(u, u.fill)
 		}
 		return !c.full()
 	})
@@ -245,10 +256,6 @@
 	return c, verdictFull
 }
 
-// readsItself reports whether decode engines take prompts that no other engine has prefilled. Those that have their
-// memory from the configuration do.
-func (p *pool) readsItself() bool { return p.engine != nil }
-
 // choosePrefilling picks the engine with the least to compute before and for this prompt: among the shortest queues,
 // and among the engines that lately got a prompt with the same first block.
 func (p *pool) choosePrefilling(w *waiting) choice {
--- a/core/dispatch/shift.go
+++ b/core/dispatch/shift.go
@@ -38,7 +38,7 @@
 
 // sample takes one look at a pool.
 func (p *pool) sample(now time.Time) (prefillers, decoders []*upstream) {
-	busy, slots, used := 0, 0, 0
+	busy, fill := 0, 0.0
 	for _, u := range p.upstreams {
 		switch {
 		case u.prefillingAt >= 0 && !u.Role.CanDecode():
@@ -48,15 +48,14 @@
 			}
 		case u.answeringAt >= 0 && u.Role == core.RoleDecode:
 			decoders = append(decoders, u)
-			slots += u.Slots
-			used += u.slots
+			fill += u.fill
 		}
 	}
 	if len(prefillers) > 0 {
 		p.load.prefill += loadShare * (float64(busy)/float64(len(prefillers)) - p.load.prefill)
 	}
-	if slots > 0 {
-		now := float64(used) / float64(slots)
+	if len(decoders) > 0 {
+		now := fill / float64(len(decoders))
 		p.load.rising = now > p.load.decode+steady
 		p.load.decode += loadShare * (now - p.load.decode)
 	}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -36,6 +36,8 @@
 	slots   int
 	memory  core.Tokens
 	prefill core.Tokens
+	// fill is how full the upstream is, from 0 to 1.
+	fill float64
 	// turn orders equally loaded upstreams by their last placement; zero leaves it to their names.
 	turn uint64
 	// busy is when the prefills under way should be done.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -16,7 +16,9 @@
 // part drives the requests of one entry host. Each request is a small state machine; only this part gives the
 // traffic side its next step, so a request can't be answered twice or run on two paths.
 type part struct {
-	boot   uint64
+	boot uint64
+	// deaf is until when no dispatcher is asked, since one did not answer.
+	deaf   time.Time
 	limit  int
 	rand   *rand.Rand
 	owners dispatch.Owners
@@ -119,8 +121,10 @@
 		p.placed(t, from, m)
 	case core.PlaceRefused:
 		p.placeRefused(t, m)
+	case core.PlaceQueued:
+		p.asked(p.requests[m.Attempt.Request], m.Attempt, t.Now)
 	case core.HoldingUnknown:
-		p.claimAll(t, m.Attempts)
+		p.claimAll(t, from, m.Attempts)
 	case core.PlaceDoneReply:
 		delete(p.dones, doneKey{attempt: m.Attempt, prefillOnly: m.PrefillOnly})
 	}
@@ -209,24 +213,67 @@
 func (p *part) askPlace(t *core.Turn, r *request) {
 	r.newAttempt(t.Now, p.boot)
 	r.stage = stagePlace
-	p.listed[r.pool] = 0
-	if p.list.IsZero() {
-		p.list = t.Now.Add(listEvery)
+	r.solo = p.owners.FallBack() && t.Now.Before(p.deaf)
+	if !p.places(r) {
+		p.listed[r.pool] = 0
+		if p.list.IsZero() {
+			p.list = t.Now.Add(listEvery)
+		}
 	}
 	p.sendAsk(t, r)
 }
 
 func (p *part) sendAsk(t *core.Turn, r *request) {
+	r.owner = p.ownerOf(r)
+	r.queued = false
 	r.resend = t.Now.Add(placeResend)
+	if p.mayGoSolo(r) {
+		r.resend = t.Now.Add(unheardAfter)
+	}
 	p.arm(r)
-	r.owner = p.ownerOf(r.pool)
-	r.ask.Left = max(0, r.Deadline.Sub(t.Now))
+	r.ask.Left = min(r.ask.Left, max(0, r.Deadline.Sub(t.Now)))
 	r.ask.Waited = t.Now.Sub(r.arrived)
 	t.Send(r.owner.host, r.ask)
 }
 
-func (p *part) ownerOf(pool core.PoolID) owner {
-	m, _ := p.owners.Of(pool, p.members)
+// places reports whether the own ledger places a request because of its pool or because the dispatcher is not heard.
+func (p *part) places(r *request) bool {
+	return p.owners.FallBack() && (r.solo || r.plain)
+}
+
+// mayGoSolo reports whether a request's place comes from a dispatcher that this host can do without.
+func (p *part) mayGoSolo(r *request) bool {
+	return p.owners.FallBack() && !p.places(r) && r.owner.host != p.owners.Self().Host
+}
+
+// goSolo places a request by the own ledger, since the dispatcher did not answer.
+func (p *part) goSolo(t *core.Turn, r *request) {
+	t.Decide(core.Decision{Part: "entry", Choice: "solo", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
+	p.deaf = t.Now.Add(deafFor)
+	r.solo = true
+	p.sendAsk(t, r)
+}
+
+// asked notes that the dispatcher has queued an attempt, so that it is asked again only later.
+func (p *part) asked(r *request, a core.AttemptID, now time.Time) {
+	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo {
+		r.queued = true
+		r.resend = now.Add(placeResend)
+		p.arm(r)
+	}
+}
+
+// ownerOf returns who places a request's attempt.
+func (p *part) ownerOf(r *request) owner {
+	if p.places(r) {
+		m := p.owners.Self()
+		return owner{host: m.Host, boot: m.Boot}
+	}
+	return p.dispatcher(r.pool, r.plain)
+}
+
+func (p *part) dispatcher(pool core.PoolID, plain bool) owner {
+	m, _ := p.owners.Of(pool, plain, p.members)
 	return owner{host: m.Host, boot: m.Boot}
 }
 
@@ -237,6 +284,9 @@
 		return
 	}
 	if r.stage != stagePlace {
+		if from != r.owner.host {
+			t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: m.Pool})
+		}
 		return
 	}
 	r.placed = m
@@ -257,7 +307,7 @@
 	}
 	r.stage = stagePrefill
 	p.arm(r)
-	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
+	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Instance: m.Prefill, Account: r.account.ID, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
 }
 
 func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
@@ -278,11 +328,19 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
 		return
 	}
+	if e.Failure != nil && r.route.Stream {
+		// Its decode engine can read the prompt as well, without another attempt.
+		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: e.Failure.Error(), Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Prefill)})
+		p.sendDone(t, r, core.PlaceDone{PrefillOnly: true, Failed: blame(e.Failure, r.placed.Prefill)})
+		r.bare = true
+		p.decode(t, r, core.KVRef{})
+		return
+	}
 	if e.Failure != nil {
 		p.attemptFailed(t, r, e.Failure, r.placed.Prefill)
 		return
 	}
-	r.ran = true
+	r.ran = r.ran || !r.route.Stream
 	if r.prompt == 0 {
 		r.prompt = e.Prompt
 	}
@@ -331,6 +389,12 @@
 		})
 		return
 	}
+	if e.Failure.NotRun && r.route.Stream && r.placed.Prefill != "" && !r.bare && p.budget(r.pool).spend(p.retries, p.hosts) {
+		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: e.Failure.Error(), Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Decode)})
+		r.bare = true
+		p.decode(t, r, core.KVRef{})
+		return
+	}
 	p.attemptFailed(t, r, e.Failure, r.placed.Decode)
 }
 
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -42,19 +42,19 @@
 func (p *part) ownersChanged(t *core.Turn) {
 	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
 		r := p.requests[id]
-		if r.stage < stagePlace || p.ownerOf(r.pool) == r.owner {
+		if r.stage < stagePlace || p.ownerOf(r) == r.owner {
 			continue
 		}
 		if r.stage == stagePlace {
 			p.sendAsk(t, r)
 			continue
 		}
-		r.owner = p.ownerOf(r.pool)
+		r.owner = p.ownerOf(r)
 		p.claim(t, r)
 	}
 	for _, k := range sortedDones(p.dones) {
 		d := p.dones[k]
-		if now := p.ownerOf(d.done.Pool); now != d.to {
+		if now := p.dispatcher(d.done.Pool, false); now != d.to {
 			d.to = now
 			t.Send(now.host, d.done)
 		}
@@ -68,9 +68,15 @@
 	}
 }
 
-func (p *part) claimAll(t *core.Turn, attempts []core.AttemptID) {
+// claimAll tells a dispatcher of the attempts that it does not know. It takes over those that the own ledger placed.
+func (p *part) claimAll(t *core.Turn, from core.HostID, attempts []core.AttemptID) {
 	for _, a := range attempts {
 		if r := p.requests[a.Request]; r != nil && r.attemptID() == a {
+			if r.solo && r.stage > stagePlace && from != r.owner.host {
+				t.Send(r.owner.host, core.PlaceDone{Attempt: a, Pool: r.pool})
+				r.solo = false
+				r.owner = p.ownerOf(r)
+			}
 			p.claim(t, r)
 		}
 	}
@@ -87,13 +93,13 @@
 		lists[pool] = nil
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
-		if r := p.requests[id]; r.stage >= stagePlace && r.stage != stageKeep {
+		if r := p.requests[id]; r.stage >= stagePlace && r.stage != stageKeep && !(p.owners.FallBack() && r.plain) {
 			lists[r.pool] = append(lists[r.pool], r.attemptID())
 		}
 	}
 	p.list = time.Time{}
 	for _, pool := range slices.Sorted(maps.Keys(lists)) {
-		t.Send(p.ownerOf(pool).host, core.Holding{Pool: pool, Attempts: lists[pool]})
+		t.Send(p.dispatcher(pool, false).host, core.Holding{Pool: pool, Attempts: lists[pool]})
 		p.listed[pool]++
 		if len(lists[pool]) > 0 {
 			p.listed[pool] = 0
@@ -164,6 +170,10 @@
 		p.stopWaiting(t, r, f)
 		return
 	}
+	if p.mayGoSolo(r) && !r.queued {
+		p.goSolo(t, r)
+		return
+	}
 	p.sendAsk(t, r)
 }
 
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -26,6 +26,9 @@
 	prefillTimeout = 10 * time.Second
 	tokenSilence   = 2 * time.Second
 	placeResend    = 300 * time.Millisecond
+	// unheardAfter is how long a dispatcher may take to answer an ask at all; one that did not is left alone for deafFor.
+	unheardAfter = 100 * time.Millisecond
+	deafFor      = time.Second
 	// noUpstreamWait is how long a request asks again although the dispatcher knows no upstream: a new dispatcher hears of
 	// them only with their next announcements, and one that was cut off of none.
 	noUpstreamWait = 6 * time.Second
@@ -43,6 +46,11 @@
 	placed core.Placed
 	owner  owner
 	resend time.Time
+	// queued is true once the dispatcher said so after the last ask; solo attempts are placed by the own ledger.
+	queued bool
+	solo   bool
+	// bare is true once a decode was sent without the prefill's result.
+	bare bool
 	// relayed is how many tokens the caller has; prompt is the prompt's length as the engine counted it.
 	relayed core.Tokens
 	prompt  core.Tokens
@@ -77,23 +85,41 @@
 		Attempt: core.AttemptID{Request: r.ID, Number: r.ask.Attempt.Number + 1},
 		Boot:    boot,
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
-		Prompt: r.Prompt + r.relayed, Output: r.output - r.relayed, Blocks: r.Blocks,
+		Prompt: r.Prompt + r.relayed, Output: r.expected(), Blocks: r.Blocks,
 		Service: r.plain, Avoid: r.avoid, Left: r.patience(now), Urgent: r.relayed > 0,
 	}
 	r.placed = core.Placed{}
 	r.resumes = 0
+	r.bare = false
 	r.first = 0
 }
 
+// expected is how many tokens of engine memory the rest of the answer is expected to take. Guesses are off by as much
+// either way, and an engine holds several answers, so no more than the guess is reserved.
+func (r *request) expected() core.Tokens {
+	rest := r.output - r.relayed
+	if r.route.Stream && r.Expected > 0 {
+		rest = min(rest, r.Expected)
+	}
+	return max(0, rest)
+}
+
 // patience is how long an attempt may wait for its place: a refusal after the target would have been better given at once.
 func (r *request) patience(now time.Time) time.Duration {
 	left := max(0, r.Deadline.Sub(now))
-	if r.route.Target > 0 {
+	switch {
+	case r.route.Target > 0 && r.route.Stream:
+		return min(left, streamPatience*r.route.Target)
+	case r.route.Target > 0:
 		return min(left, r.route.Target)
 	}
 	return left
 }
 
+// streamPatience times the target, a stream waits for its place: a late one is worth less, but more than none, and callers
+// give a silent one up after four times the target.
+const streamPatience = 3
+
 // attempts is how many upstreams the request may be sent to.
 func (r *request) attempts() int {
 	if r.route.Attempts > 0 {
--- a/core/message.go
+++ b/core/message.go
@@ -255,6 +255,11 @@
 	Failure Failure   `cbor:"failure"`
 }
 
+// PlaceQueued tells that an attempt waits for its place, so that silence means that the dispatcher is gone.
+type PlaceQueued struct {
+	Attempt AttemptID `cbor:"attempt"`
+}
+
 // PlaceDone gives back what a dispatcher reserved for an attempt.
 type PlaceDone struct {
 	Attempt AttemptID `cbor:"attempt"`
--- a/core/plugin.go
+++ b/core/plugin.go
@@ -91,6 +91,9 @@
 	PlacementPool Placement = iota
 	// PlacementHost lets each host choose by its own ledger, so that no other host's failure can hold a request up.
 	PlacementHost
+	// PlacementMixed gives pools of engines a dispatcher, and leaves plain services to each host. A host whose dispatcher
+	// does not answer chooses by its own ledger.
+	PlacementMixed
 )
 
 // RetryBudget bounds retries to a share of the requests and a number that all hosts together may add to it.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -42,7 +42,7 @@
 func Plugin() core.Plugin { return core.Plugin{Name: "registry", Rank: rank, New: newPart} }
 
 func newPart(env core.Env) core.Part {
-	if env.Placement != core.PlacementHost {
+	if env.Placement == core.PlacementPool {
 		return core.Part{Handle: func(*core.Turn, core.Event) {}}
 	}
 	p := &part{
--- a/core/request.go
+++ b/core/request.go
@@ -20,6 +20,8 @@
 	Prompt Tokens
 	// MaxOutput is the most tokens that the caller wants, or zero.
 	MaxOutput Tokens
+	// Expected is the caller's guess of the answer's length, or zero.
+	Expected Tokens
 	// Blocks are the chained hashes of the prompt's leading blocks of BlockTokens each.
 	Blocks []uint64
 	// Once is the caller's Idempotency-Key, or empty.
@@ -83,9 +85,13 @@
 type RunPrefill struct {
 	Attempt  AttemptID
 	Upstream netip.AddrPort
-	Epoch    Epoch
-	Blocks   []uint64
-	Timeout  time.Duration
+	// Instance names the upstream that is meant, since addresses are used again.
+	Instance UpstreamID
+	// Account is whose request it is, empty on an open route.
+	Account AccountID
+	Epoch   Epoch
+	Blocks  []uint64
+	Timeout time.Duration
 }
 
 // RunDecode asks the traffic side to relay a stream from the offset that the caller has reached.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -85,13 +85,16 @@
 	retryMargin = 0.6
 )
 
+var placements = map[settings.Placement]core.Placement{
+	settings.PlacementPool: core.PlacementPool, settings.PlacementHost: core.PlacementHost,
+	settings.PlacementMixed: core.PlacementMixed,
+}
+
 // applyPolicy gives the kernel what the settings say of placement, cuts and retries.
 func applyPolicy(env *core.Env, s *settings.Host) {
 	env.ServeStale = s.ServeStale
 	env.Silence = missedBeats * s.UpstreamBeat.Duration
-	if s.Placement == settings.PlacementHost {
-		env.Placement = core.PlacementHost
-	}
+	env.Placement = placements[s.Placement]
 	if s.Retries.Share > 0 {
 		env.Retries = core.RetryBudget{Share: retryMargin * s.Retries.Share, Burst: retryMargin * s.Retries.Burst, Shared: true}
 	}
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -57,6 +57,7 @@
 	wire[core.TakeOver](33),
 	wire[core.ShiftWanted](34),
 	wire[core.UpstreamList](35),
+	wire[core.PlaceQueued](36),
 }
 
 var (
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -84,6 +84,8 @@
 const (
 	PlacementPool Placement = "pool"
 	PlacementHost Placement = "host"
+	// PlacementMixed has dispatchers for engines only, and each host choose where its dispatcher does not answer.
+	PlacementMixed Placement = "mixed"
 )
 
 // Retries bounds the retries of all hosts together.
@@ -327,8 +329,8 @@
 }
 
 func checkPlacement(h *Host) (string, string) {
-	if h.Placement != PlacementPool && h.Placement != PlacementHost {
-		return "placement", `want "pool" or "host"`
+	if !slices.Contains([]Placement{PlacementPool, PlacementHost, PlacementMixed}, h.Placement) {
+		return "placement", `want "pool", "host" or "mixed"`
 	}
 	if h.Retries.Share < 0 || h.Retries.Burst < 0 {
 		return "retries", "must not be negative"
