--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -57,6 +57,8 @@
 	core.TakeOver{Epoch: 3},
 	core.ShiftWanted{Assignment: core.Assignment{Upstream: "u", Pool: "p", Role: core.RolePrefill}},
 	core.OrderWanted{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
+	core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleService, Addr: addr, Slots: 1}, Age: time.Second}}, Gone: []core.UpstreamGone{{ID: "u", Incarnation: 2}}},
+	core.PlaceQueued{Attempt: ask.Attempt},
 }
 
 func TestMessagesComeBackAsTheyWere(t *testing.T) {
