core: standbys for keepers, advances on quotas, groups that meet sooner; metrics

- A host with a data folder that nobody named joins as a standby and takes the place of a voter that is silent for 1.5 s.
A seed whose address no known host has is now pinged twice a second.
- Hosts spend a quarter of the quota's slack before it is lent, and 0.6 of their part of the rate while the lender is silent.

--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -28,6 +28,10 @@
 	// Plugins are the plug-ins of each kernel; empty means all registered ones.
 	Plugins []core.Plugin
 	Limits  core.Limits
+	// Disks is how many hosts have a data folder, if that is more than the Keepers.
+	Disks int
+	// Adjust changes what a host's kernel is told at each start; nil leaves it as it is.
+	Adjust func(env *core.Env)
 	// ClockRate is how fast a host's clock goes, where 1 is right; nil means that all are right.
 	ClockRate func(h core.HostID) float64
 }
@@ -119,7 +123,7 @@
 		if c.ClockRate != nil {
 			h.rate = c.ClockRate(h.ID)
 		}
-		if i < c.Keepers {
+		if i < max(c.Keepers, c.Disks) {
 			h.newDisk()
 		}
 		r.Hosts = append(r.Hosts, h)
@@ -143,6 +147,15 @@
 	h.Stored = core.Stored{}
 }
 
+// Add starts one more host, with an empty data folder, at an address that no host had before.
+func (r *Run) Add() *Host {
+	h := &Host{ID: HostID(len(r.Hosts)), rate: 1}
+	h.newDisk()
+	r.Hosts = append(r.Hosts, h)
+	r.Boot(h)
+	return h
+}
+
 func (r *Run) index(h *Host) int { return slices.Index(r.Hosts, h) }
 
 // Boot starts a host with what its disk holds.
@@ -163,6 +176,9 @@
 	for i := range r.config.Keepers {
 		env.Keepers = append(env.Keepers, HostID(i))
 	}
+	if r.config.Adjust != nil {
+		r.config.Adjust(&env)
+	}
 	h.Kernel = core.New(env, r.config.Plugins...)
 	r.step(h, core.Started{})
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -18,6 +18,8 @@
 	PongTimeout = 200 * time.Millisecond
 	SuspectTime = 2 * time.Second
 	SeedEvery   = 5 * time.Second
+	// missingSeedEvery is how often a seed is pinged that no known host has the address of.
+	missingSeedEvery = 500 * time.Millisecond
 	// seedPerHost keeps the pings that all hosts together send to seeds at one in so long.
 	seedPerHost  = 100 * time.Millisecond
 	tombstoneFor = time.Minute
@@ -309,21 +311,38 @@
 	}
 }
 
-// meetSeed pings a seed often while this host is alone and now and then later, so that a group that was cut in two
-// becomes one again.
+// meetSeed pings a seed that is not among the known hosts, and now and then any other, so that groups which formed around
+// different seeds, or were cut from each other, become one.
 func (p *part) meetSeed(t *core.Turn) {
 	if len(p.seeds) == 0 || (len(p.hosts) > 0 && !core.Due(p.seedAt, t.Now)) {
 		return
 	}
+	addr, missing := p.nextSeed()
 	p.seedAt = t.Now.Add(max(SeedEvery, time.Duration(len(p.hosts))*seedPerHost))
-	addr := p.seeds[p.turn%len(p.seeds)]
-	p.turn++
+	if missing {
+		p.seedAt = t.Now.Add(missingSeedEvery)
+	}
 	if addr != p.self.Addr {
 		p.seq++
 		t.Do(core.SendMessage{Addr: addr, Message: core.Ping{Seq: p.seq, From: p.self, Known: len(p.hosts), News: p.news("")}})
 	}
 }
 
+// nextSeed returns the seed whose turn it is, one that no known host has the address of before all others.
+func (p *part) nextSeed() (addr netip.AddrPort, missing bool) {
+	known := map[netip.AddrPort]bool{p.self.Addr: true}
+	for _, k := range p.hosts {
+		known[k.Addr] = known[k.Addr] || k.State < core.MemberLeft
+	}
+	p.turn++
+	for i := range p.seeds {
+		if s := p.seeds[(p.turn+i)%len(p.seeds)]; !known[s] {
+			return s, true
+		}
+	}
+	return p.seeds[p.turn%len(p.seeds)], false
+}
+
 func (p *part) sends() int { return newsFactor * bits.Len(uint(len(p.hosts)+1)) }
 
 // news picks the statements that were carried along least often, and first of all what is believed of the receiver.
--- a/core/plugin.go
+++ b/core/plugin.go
@@ -51,6 +51,9 @@
 	Seeds []netip.AddrPort
 	// Keepers are the hosts that form the first keeper set.
 	Keepers []HostID
+	// KeeperTarget is how many voters the keepers should be. Hosts with a data folder that no settings name then join as
+	// standbys, and one takes the place of a voter that is gone. Zero leaves the set to the hosts in Keepers.
+	KeeperTarget int
 	// Entry is true on a host that serves callers.
 	Entry bool
 	// Placement says who chooses upstreams for a pool's requests.
@@ -59,6 +62,8 @@
 	ServeStale bool
 	// Retries bounds the retries of all hosts together.
 	Retries RetryBudget
+	// Quota says what hosts may spend that nobody has lent them.
+	Quota QuotaPolicy
 	// Silence is how long an upstream may be silent before it gets no new work; zero means the default.
 	Silence time.Duration
 	// Rand is the kernel's only source of random numbers.
@@ -104,6 +109,15 @@
 	Shared bool
 }
 
+// QuotaPolicy says what hosts may spend of a client account's tokens that nobody has lent them. Both amounts are divided
+// between the hosts that serve callers. The zero value allows nothing.
+type QuotaPolicy struct {
+	// Advance is how many tokens all hosts together may spend before they are lent.
+	Advance Tokens
+	// StaleShare is the part of the rate that all hosts together may spend while the lender is silent.
+	StaleShare float64
+}
+
 // DefaultRetries returns the budget of a host that is not told otherwise.
 func DefaultRetries() RetryBudget { return RetryBudget{Share: 0.1, Burst: 20} }
 
--- /dev/null
+++ b/core/quota/advance.go
@@ -0,0 +1,67 @@
+package quota
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+// silentAfter is how long the owner may leave an ask unanswered before it counts as silent: longer than an answer takes on
+// a busy day, and shorter than the callers of plain services wait.
+const silentAfter = 400 * time.Millisecond
+
+// countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take their
+// parts of what may be spent without a loan.
+func (h *holder) countHosts(members []core.Member) {
+	n := 0
+	for i := range members {
+		if members[i].Entry {
+			n++
+		}
+	}
+	h.hosts = max(h.hosts, n)
+}
+
+// advance spends tokens that are yet to be lent, so that a small request need not wait for the owner.
+func (h *holder) advance(a *account, cost core.Tokens) bool {
+	most := h.policy.Advance / core.Tokens(h.hosts)
+	if hand := a.atHand(); a.debt+cost-hand > most {
+		return false
+	}
+	a.debt += cost - a.atHand()
+	if rest := a.atHand(); rest > 0 {
+		a.take(rest, h.epoch)
+		cost -= rest
+	}
+	a.taken += cost
+	return true
+}
+
+// repay settles the debt with what was lent and returns the rest.
+func (a *account) repay(lent core.Tokens) core.Tokens {
+	a.debt = max(0, a.debt)
+	paid := min(a.debt, lent)
+	a.debt -= paid
+	a.spent += paid
+	return lent - paid
+}
+
+// payWhileSilent pays the debt off at this host's part of the rate while the owner does not answer, so that a host which is
+// cut off serves on. The owner hears nothing of it: the allowance for all hosts bounds the sum.
+func (h *holder) payWhileSilent(t *core.Turn, id core.AccountID, a *account) {
+	silent := h.policy.StaleShare > 0 && !h.waits.IsZero() && t.Now.Sub(h.waits) >= silentAfter
+	since := a.paid
+	a.paid = t.Now
+	limit, ok := h.tables.Account(id)
+	if !silent || !ok || since.IsZero() {
+		return
+	}
+	rate := h.policy.StaleShare * float64(limit.Rate) / float64(h.hosts)
+	a.debt -= core.Tokens(rate * t.Now.Sub(since).Seconds())
+	// What the debt falls below zero by is a store for requests larger than the advance, of a second's allowance at most.
+	a.debt = max(a.debt, -core.Tokens(rate))
+	h.serve(t, a)
+	for i := range a.waiters {
+		a.waiters[i].hurry(t.Now)
+	}
+}
--- /dev/null
+++ b/core/quota/advance_test.go
@@ -0,0 +1,76 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+)
+
+const (
+	advance    = core.Tokens(900)
+	staleShare = 0.6
+)
+
+// spending is nine hosts that may spend a little of what nobody has lent them.
+func spending(seed uint64) *fleet {
+	c := nine(seed)
+	c.Adjust = func(env *core.Env) { env.Quota = core.QuotaPolicy{Advance: advance, StaleShare: staleShare} }
+	return newFleet(c, false)
+}
+
+func TestSmallRequestsDoNotWaitForALoan(t *testing.T) {
+	f := spending(1)
+	for range 50 {
+		began, had := f.Now, len(f.charges)
+		f.want(f.Hosts[f.Rand.IntN(9)], 20)
+		require.Len(t, f.charges, had+1)
+		require.Equal(t, began, f.charges[had].at)
+		f.RunFor(100 * time.Millisecond)
+	}
+}
+
+func TestAdvancesStayWithinTheirSum(t *testing.T) {
+	for seed := range uint64(10) {
+		f := spending(seed)
+		for range 2000 {
+			f.want(f.Hosts[f.Rand.IntN(9)], core.Tokens(10+f.Rand.IntN(150)))
+			f.RunFor(time.Duration(f.Rand.IntN(20)) * time.Millisecond)
+		}
+		excess, at := f.worstExcess(1)
+		require.LessOrEqual(t, excess, float64(advance), "seed %d at %v", seed, at)
+	}
+}
+
+func TestCutOffHostsServeOnAtTheirPart(t *testing.T) {
+	for seed := range uint64(5) {
+		f := spending(seed)
+		f.RunFor(2 * time.Second)
+		f.Cut = func(_, to core.HostID) bool { return to == f.Hosts[0].ID || to == f.Hosts[1].ID || to == f.Hosts[2].ID }
+		began, had := f.Now, len(f.charges)
+		for range 400 {
+			f.want(f.Hosts[3+f.Rand.IntN(6)], 20)
+			f.RunFor(25 * time.Millisecond)
+		}
+		var spent core.Tokens
+		for _, c := range f.charges[had:] {
+			spent += c.cost
+		}
+		span := f.Now.Sub(began).Seconds()
+		// Six of nine hosts ask for 800 tokens a second and may have 600 * 6/9 of the rate of 1,000.
+		part := staleShare * float64(rate) * 6 / 9
+		require.Greater(t, float64(spent), part*(span-2)*0.8, "seed %d", seed)
+		// Beside their part: what was lent before the cut, the advance, and the store of a second.
+		require.LessOrEqual(t, float64(spent), part*(span+1)+float64(burst)+float64(advance), "seed %d", seed)
+		require.Zero(t, f.denied[core.KindOverRate], "a host that can't tell does not say that the account is over its rate")
+	}
+}
+
+func TestNothingIsSpentAheadByDefault(t *testing.T) {
+	f := newFleet(nine(1), false)
+	had := len(f.charges)
+	f.want(f.Hosts[5], 20)
+	require.Len(t, f.charges, had)
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -40,6 +40,13 @@
 	denied bool
 }
 
+// hurry lets a request wait no longer than one of an account without tokens, since nobody lends any.
+func (w *waiter) hurry(now time.Time) {
+	if till := now.Add(DeniedWait); till.Before(w.till) {
+		w.till = till
+	}
+}
+
 // account is what one host holds of an account's tokens.
 type account struct {
 	grants  []grant
@@ -55,6 +62,9 @@
 	asked  time.Time
 	// ready is when asking the owner again is worth it.
 	ready time.Time
+	// debt is what was spent before it was lent; paid is until when it was paid off while the lender was silent.
+	debt core.Tokens
+	paid time.Time
 }
 
 // holder spends borrowed amounts for the requests of one host.
@@ -69,14 +79,17 @@
 	// oldest is the first ask that may still be answered.
 	oldest uint64
 	next   time.Time
+	policy core.QuotaPolicy
+	// hosts is the most entry hosts that were known at once, which share what may be spent without a loan.
+	hosts int
+	// waits is since when an ask has had no answer.
+	waits time.Time
 }
 
 // deny notes that the account has no tokens left.
 func (w *waiter) deny(now time.Time) {
 	w.denied = true
-	if till := now.Add(DeniedWait); till.Before(w.till) {
-		w.till = till
-	}
+	w.hurry(now)
 }
 
 func (h *holder) wanted(t *core.Turn, e core.QuotaWanted) {
@@ -97,7 +110,8 @@
 	a.waiters = append(a.waiters, waiter{request: e.Request, cost: e.Cost, till: t.Now.Add(Wait)})
 	a.used = t.Now
 	h.serve(t, a)
-	if len(a.waiters) > 0 && !t.Now.Before(a.ready) {
+	h.payWhileSilent(t, e.Account, a)
+	if (len(a.waiters) > 0 || a.debt > 0) && !t.Now.Before(a.ready) {
 		a.ready = t.Now.Add(askEvery)
 		h.askFor(t, e.Account, a)
 	}
@@ -130,7 +144,7 @@
 // serve gives amounts at hand to the waiting requests in the order of their arrival.
 func (h *holder) serve(t *core.Turn, a *account) {
 	a.expire(t.Now, h.epoch)
-	for len(a.waiters) > 0 && a.take(a.waiters[0].cost, h.epoch) {
+	for len(a.waiters) > 0 && (a.take(a.waiters[0].cost, h.epoch) || h.advance(a, a.waiters[0].cost)) {
 		t.Post(core.QuotaTaken{Request: a.waiters[0].request})
 		a.waiters = slices.Delete(a.waiters, 0, 1)
 	}
@@ -183,6 +197,7 @@
 	ask := core.QuotaAsk{Boot: h.boot, Epoch: h.epoch}
 	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
 		a := h.accounts[id]
+		h.payWhileSilent(t, id, a)
 		h.refuseLate(t, a)
 		if line, ok := a.line(t.Now, id, h.epoch); ok {
 			ask.Lines = append(ask.Lines, line)
@@ -201,6 +216,9 @@
 func (h *holder) send(t *core.Turn, ask core.QuotaAsk) {
 	h.ask++
 	ask.Ask = h.ask
+	if h.waits.IsZero() {
+		h.waits = t.Now
+	}
 	h.asks[ask.Ask] = t.Now
 	for h.oldest < h.ask && t.Now.Sub(h.asks[h.oldest]) >= Lease {
 		delete(h.asks, h.oldest)
@@ -232,10 +250,12 @@
 	}
 	l := core.QuotaLine{Account: id, Unused: a.unused, Spent: a.spent, Refund: a.refund}
 	hand := a.atHand()
+	owed := max(0, a.debt)
+	l.Need = owed
 	if len(a.waiters) > 0 {
-		l.Need = max(0, a.waiters[0].cost-hand)
+		l.Need += max(0, a.waiters[0].cost-hand)
 	}
-	ahead := core.Tokens(a.demand * idleAfter.Seconds())
+	ahead := owed + core.Tokens(a.demand*idleAfter.Seconds())
 	for _, w := range a.waiters {
 		ahead += w.cost
 	}
@@ -265,7 +285,7 @@
 }
 
 func (a *account) idle(now time.Time) bool {
-	return len(a.waiters) == 0 && len(a.grants) == 0 && now.Sub(a.used) >= idleAfter
+	return len(a.waiters) == 0 && len(a.grants) == 0 && a.debt <= 0 && now.Sub(a.used) >= idleAfter
 }
 
 func (h *holder) granted(t *core.Turn, m core.QuotaGrant) {
@@ -274,6 +294,7 @@
 		return
 	}
 	delete(h.asks, m.Ask)
+	h.waits = time.Time{}
 	if m.Epoch != h.epoch {
 		h.newEpoch(m.Epoch)
 	}
@@ -294,11 +315,11 @@
 }
 
 func (h *holder) lent(t *core.Turn, a *account, at time.Time, l core.QuotaLent) {
-	if l.Lent > 0 {
+	if l.Lent = a.repay(l.Lent); l.Lent > 0 {
 		a.grants = append(a.grants, grant{amount: l.Lent, till: at.Add(core.HolderTime(Lease)), epoch: h.epoch})
 	}
 	h.serve(t, a)
-	if len(a.waiters) == 0 {
+	if len(a.waiters) == 0 && a.debt <= 0 {
 		return
 	}
 	for i := range a.waiters {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -24,7 +24,7 @@
 	empty := &core.Tables{}
 	p := &part{
 		holder: holder{
-			boot: env.Boot, tables: empty,
+			boot: env.Boot, tables: empty, policy: env.Quota, hosts: 1,
 			accounts: map[core.AccountID]*account{}, asks: map[uint64]time.Time{},
 		},
 		owner: owner{relend: relend, tables: empty, pending: core.Pending[ownerAsk]{Mark: core.MarkQuota}},
@@ -40,6 +40,8 @@
 		p.owner.created(t, e)
 	case core.LeaderKnown:
 		p.holder.leader = e.Leader
+	case core.MembersChanged:
+		p.holder.countHosts(e.Members)
 	case core.LeaderChanged:
 		p.owner.leaderChanged(t, e)
 	case core.Confirmed:
--- a/core/replica/keepers.go
+++ b/core/replica/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"oleanderlever/core"
 )
@@ -91,40 +92,110 @@
 	if !ok {
 		return
 	}
-	t.Decide(core.Decision{Part: "replica", Choice: "keeperSet", Reason: "a keeper has another data folder", Target: string(p.self)})
-	p.appendOwn(t, core.Entry{Kind: core.EntryKeepers, Keepers: next})
+	t.Decide(core.Decision{Part: "replica", Choice: "keeperSet", Reason: next.reason, Target: string(next.host)})
+	p.appendOwn(t, core.Entry{Kind: core.EntryKeepers, Keepers: core.KeeperSet{Members: next.members}})
 	p.sendEntries(t)
 }
 
-func (p *part) nextKeepers(t *core.Turn, set core.KeeperSet) (core.KeeperSet, bool) {
+// change is the next step of a keeper set.
+type change struct {
+	members []core.Keeper
+	host    core.HostID
+	reason  string
+}
+
+func (p *part) nextKeepers(t *core.Turn, set core.KeeperSet) (change, bool) {
 	members := slices.Clone(set.Members)
+	for _, step := range []func(*core.Turn, []core.Keeper) (change, bool){p.promote, p.adopt, p.forget} {
+		if c, ok := step(t, members); ok {
+			return c, true
+		}
+	}
+	return change{}, false
+}
+
+// promote gives a learner that has caught up its vote, after the voter whose place it takes has lost its own.
+func (p *part) promote(t *core.Turn, members []core.Keeper) (change, bool) {
 	for i, k := range members {
 		if k.Voter || !p.caughtUp(t, k) {
 			continue
 		}
 		old := slices.IndexFunc(members, func(o core.Keeper) bool { return o.Host == k.Host && o.Voter })
 		if old >= 0 {
-			return core.KeeperSet{Members: slices.Delete(members, old, old+1)}, true
+			return change{slices.Delete(members, old, old+1), k.Host, "a keeper has another data folder"}, true
+		}
+		if len(p.voters()) < p.target || p.target == 0 {
+			members[i].Voter = true
+			return change{members, k.Host, "a learner has caught up"}, true
+		}
+		if gone := p.goneVoter(t, members); gone >= 0 {
+			host := members[gone].Host
+			return change{slices.Delete(members, gone, gone+1), host, "a voter is gone and a standby is ready"}, true
 		}
-		members[i].Voter = true
-		return core.KeeperSet{Members: members}, true
 	}
+	return change{}, false
+}
+
+// replaceAfter is how long a voter must not have answered before a standby takes its place: longer than an election, and
+// well within the time that the set has to be whole again before the next loss.
+const replaceAfter = 1500 * time.Millisecond
+
+// goneVoter returns the voter that has not answered for longest, or -1.
+func (p *part) goneVoter(t *core.Turn, members []core.Keeper) int {
+	gone, longest := -1, replaceAfter
+	for i, k := range members {
+		if !k.Voter || k.Host == p.self {
+			continue
+		}
+		if idle := p.idleFor(t, k.Host); idle >= longest || p.hasLeft(k) {
+			gone, longest = i, max(idle, replaceAfter)
+		}
+	}
+	return gone
+}
+
+// hasLeft reports whether a keeper's host says that it shuts down.
+func (p *part) hasLeft(k core.Keeper) bool {
+	return slices.ContainsFunc(p.members, func(m core.Member) bool { return m.Host == k.Host && m.Leaving })
+}
+
+// adopt adds a live host's data folder as a learner: one that replaces a keeper's lost one, or that of a standby.
+func (p *part) adopt(_ *core.Turn, members []core.Keeper) (change, bool) {
 	for _, m := range p.members {
-		if m.Disk == "" || m.State != core.MemberAlive || !p.wantsLearner(members, m) {
+		if m.Disk == "" || m.State != core.MemberAlive || m.Leaving || !p.wantsLearner(members, m) {
 			continue
 		}
 		members = slices.DeleteFunc(members, func(k core.Keeper) bool { return k.Host == m.Host && !k.Voter })
 		delete(p.peers, m.Host)
-		return core.KeeperSet{Members: append(members, core.Keeper{Host: m.Host, Disk: m.Disk})}, true
+		return change{append(members, core.Keeper{Host: m.Host, Disk: m.Disk}), m.Host, "a data folder is new"}, true
 	}
-	return core.KeeperSet{}, false
+	return change{}, false
 }
 
-// wantsLearner reports whether a keeper is known to the set, but not with the folder that it has now.
+// forget drops learners whose host is no longer a member.
+func (p *part) forget(_ *core.Turn, members []core.Keeper) (change, bool) {
+	if p.target == 0 {
+		return change{}, false
+	}
+	for i, k := range members {
+		known := slices.ContainsFunc(p.members, func(m core.Member) bool { return m.Host == k.Host })
+		if !k.Voter && !known {
+			return change{slices.Delete(members, i, i+1), k.Host, "a standby is gone"}, true
+		}
+	}
+	return change{}, false
+}
+
+// maxStandbys bounds the learners that wait for a voter's place.
+const maxStandbys = 8
+
+// wantsLearner reports whether a host's data folder should be in the set and is not: the host is known to the set with
+// another folder, or may be a standby.
 func (p *part) wantsLearner(members []core.Keeper, m core.Member) bool {
 	known := slices.ContainsFunc(members, func(k core.Keeper) bool { return k.Host == m.Host })
 	same := slices.ContainsFunc(members, func(k core.Keeper) bool { return k.Host == m.Host && k.Disk == m.Disk })
-	return known && !same && m.Host != p.self
+	standbys := len(members) - len(p.voters())
+	return (known || (p.target > 0 && standbys < maxStandbys)) && !same && m.Host != p.self
 }
 
 // caughtUp reports whether a learner answers and holds everything that is committed.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -75,8 +75,10 @@
 	self  core.HostID
 	disk  core.DiskID
 	first []core.HostID
-	rand  *rand.Rand
-	safe  Safety
+	// target is how many voters there should be, or zero where the set is fixed.
+	target int
+	rand   *rand.Rand
+	safe   Safety
 
 	role     role
 	hard     core.HardState
@@ -124,7 +126,7 @@
 	if env.Disk == "" {
 		return core.Part{Handle: refuseProposals}
 	}
-	p := &part{self: env.Self, disk: env.Disk, first: slices.Sorted(slices.Values(env.Keepers)), rand: env.Rand, safe: safe}
+	p := &part{self: env.Self, disk: env.Disk, first: slices.Sorted(slices.Values(env.Keepers)), target: env.KeeperTarget, rand: env.Rand, safe: safe}
 	p.hard = env.Stored.Hard
 	if s := env.Stored.Snapshot; s != nil {
 		p.log.trim(s)
--- a/core/replicated.go
+++ b/core/replicated.go
@@ -80,6 +80,19 @@
 	Entries  []Entry
 }
 
+// LastKeepers returns the newest keeper set in a data folder.
+func (s *Stored) LastKeepers() KeeperSet {
+	for i := len(s.Entries) - 1; i >= 0; i-- {
+		if s.Entries[i].Kind == EntryKeepers {
+			return s.Entries[i].Keepers
+		}
+	}
+	if s.Snapshot != nil {
+		return s.Snapshot.Keepers
+	}
+	return KeeperSet{}
+}
+
 // Persist asks the disk to make a state durable; Persisted with the same sequence number follows its sync.
 type Persist struct {
 	Seq uint64
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	randv2 "math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,9 @@
 		}
 		d.instances = append(d.instances, instance)
 	}
+	if s.KeepersFrom == settings.SourceSeeds {
+		rememberKeepers(&d.host.Env)
+	}
 	d.host.Loop.Start(core.New(d.host.Env), d.perform)
 	for _, i := range d.instances {
 		if i.Start != nil {
@@ -83,6 +87,11 @@
 	missedBeats = 4
 	// retryMargin is the part of the allowed retries that the hosts use: what one host can't see leaves the rest.
 	retryMargin = 0.6
+	// advancePart is the part of the quota's slack that hosts spend before they are lent. The rest is for what a new lender
+	// can't know of the one before.
+	advancePart = 4
+	// staleShare is the part of the rates that hosts spend while the lender is silent to them; it may not be silent to others.
+	staleShare = 0.6
 )
 
 var placements = map[settings.Placement]core.Placement{
@@ -92,7 +101,14 @@
 
 // applyPolicy gives the kernel what the settings say of placement, cuts and retries.
 func applyPolicy(env *core.Env, s *settings.Host) {
+	if s.KeepersFrom == settings.SourceSeeds {
+		env.KeeperTarget = 2*s.Tolerate + 1
+	}
 	env.ServeStale = s.ServeStale
+	env.Quota.Advance = core.Tokens(s.Quota.Slack / advancePart)
+	if s.ServeStale {
+		env.Quota.StaleShare = staleShare
+	}
 	env.Silence = missedBeats * s.UpstreamBeat.Duration
 	env.Placement = placements[s.Placement]
 	if s.Retries.Share > 0 {
@@ -100,6 +116,20 @@
 	}
 }
 
+// rememberKeepers adds the keepers that the data folder names to the seeds, which may all be stale by now. Hosts are named
+// by their IP numbers and all use the same port.
+func rememberKeepers(env *core.Env) {
+	for _, k := range env.Stored.LastKeepers().Members {
+		ip, err := netip.ParseAddr(string(k.Host))
+		if err != nil {
+			continue
+		}
+		if addr := netip.AddrPortFrom(ip, env.Addr.Port()); !slices.Contains(env.Seeds, addr) {
+			env.Seeds = append(env.Seeds, addr)
+		}
+	}
+}
+
 // newRand seeds the kernel's generator from the system and takes the start's number from the clock.
 func newRand() (*randv2.Rand, uint64, error) {
 	var seed [16]byte
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -41,6 +41,8 @@
 	Keepers []string `toml:"keepers"`
 	// KeepersFrom says where the first keeper set comes from: the list above, or the seeds.
 	KeepersFrom Source `toml:"keepersFrom"`
+	// Tolerate is how many keepers may be lost at once where the seeds form the set, which grows to twice as many and one.
+	Tolerate int `toml:"tolerate"`
 	// Bootstrap lets the seeds form the keeper set; it is true only at the very first start of the whole system.
 	Bootstrap bool `toml:"bootstrap"`
 	// Seeds are the addresses of other hosts to meet first.
@@ -58,6 +60,7 @@
 	// MemoryMB is what the process may use at most; the garbage collector keeps well below.
 	MemoryMB int64    `toml:"memoryMB"`
 	Retries  Retries  `toml:"retries"`
+	Quota    Quota    `toml:"quota"`
 	Platform Platform `toml:"platform"`
 	// DataFolder holds a keeper's durable state.
 	DataFolder  string      `toml:"dataFolder"`
@@ -96,6 +99,12 @@
 	Burst float64 `toml:"burst"`
 }
 
+// Quota bounds what hosts may spend that nobody has lent them.
+type Quota struct {
+	// Slack is how many tokens above its rate and burst an account may get over all hosts together.
+	Slack int64 `toml:"slack"`
+}
+
 // Platform is the addresses on which a host serves a platform's callers, its balancer, and its upstreams and operators.
 type Platform struct {
 	Callers netip.AddrPort `toml:"callers"`
@@ -151,6 +160,8 @@
 	defaultReadTimeout  = 15 * time.Second
 	defaultDrainTimeout = 10 * time.Minute
 	minSecretBytes      = 16
+	// maxTolerate bounds the keeper set, whose leader sends everything to each member.
+	maxTolerate = 4
 )
 
 // Load reads a settings file.
@@ -322,6 +333,8 @@
 		return "keepers", "is set, but the seeds form the keeper set"
 	case len(h.Seeds) == 0:
 		return "seeds", "is missing"
+	case h.Tolerate < 0 || h.Tolerate > maxTolerate:
+		return "tolerate", "want 0 to 4"
 	case h.Host != h.Listen.Hosts.Addr().String():
 		return "host", "must be the IP number of listen.hosts where the seeds form the keeper set"
 	}
@@ -335,6 +348,9 @@
 	if h.Retries.Share < 0 || h.Retries.Burst < 0 {
 		return "retries", "must not be negative"
 	}
+	if h.Quota.Slack < 0 {
+		return "quota.slack", "must not be negative"
+	}
 	if h.MemoryMB < 0 {
 		return "memoryMB", "must not be negative"
 	}
--- a/io/telemetry/peer.go
+++ b/io/telemetry/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/control"
+	"oleanderlever/io/socket"
 )
 
 const (
@@ -23,13 +23,14 @@
 func open(h *control.Host) (control.Instance, error) {
 	i := control.Instance{Do: func(a core.Action) {
 		if d, ok := a.(core.LogDecision); ok {
+			decisions.Add(d.Decision.Part+"."+d.Decision.Choice, 1)
 			logDecision(h.Log, &d.Decision)
 		}
 	}}
 	if !h.Settings.Listen.Metrics.IsValid() {
 		return i, nil
 	}
-	l, err := net.Listen("tcp", h.Settings.Listen.Metrics.String())
+	l, err := socket.Listen(h.Settings.Listen.Metrics)
 	if err != nil {
 		return i, errors.Wrap(err, "listen.metrics")
 	}
@@ -42,6 +43,9 @@
 	return i, nil
 }
 
+// decisions counts the decisions by part and choice.
+var decisions = expvar.NewMap("decisions")
+
 // gauges are the counts of the kernel's parts at the last look.
 var gauges = expvar.NewMap("gauges")
 
