core: engines change roles by demand; late prefills are given up; a drain that ends in time

Pools from a document have their roles changed by the leader's orders, at 0.70 of the decode engines' memory.

--- a/core/config.go
+++ b/core/config.go
@@ -360,13 +360,17 @@
 	return find(s.Models, id, func(m Model) PoolID { return m.ID })
 }
 
-// Policy returns the upstream policy of a pool, the most careful one where none is set.
+// Policy returns the upstream policy of a pool. Where none is set it is what a document says of the pool's engines, whose
+// roles the system may change, or else the most careful one.
 func (s *Tables) Policy(id PoolID) UpstreamPolicy {
 	p, ok := find(s.Policies, id, func(p UpstreamPolicy) PoolID { return p.Pool })
-	if !ok {
-		return UpstreamPolicy{Pool: id}
+	if ok {
+		return p
+	}
+	if c, ok := s.Pool(id); ok && c.Engine != nil {
+		return UpstreamPolicy{Pool: id, ChecksFencing: c.Engine.ChecksFencing, AutoRoles: true}
 	}
-	return p
+	return UpstreamPolicy{Pool: id}
 }
 
 // Assignment returns what an engine should be, if anything is said of it.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -45,6 +45,7 @@
 	// engine is what the configuration says of the pool's engines, if anything; block is the unit of their memory.
 	engine *core.Engine
 	block  core.Tokens
+	tables *core.Tables
 	// silence is how long an upstream may be silent. Where others pass its words on, that is counted up to lastHeard, when
 	// any upstream of the pool was heard last: if all fall silent at once, the way here is broken and not they.
 	silence   time.Duration
@@ -56,7 +57,7 @@
 
 // configure takes over what the configuration says of the pool.
 func (p *pool) configure(tables *core.Tables) {
-	p.engine, p.block = nil, core.PieceTokens
+	p.engine, p.block, p.tables = nil, core.PieceTokens, tables
 	c, ok := tables.Pool(p.id)
 	if !ok || c.Engine == nil {
 		return
@@ -112,7 +113,7 @@
 // refresh puts an upstream where its load and its state belong.
 func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
 	p.measure(u)
-	usable := u.usable(p.heardUpTo(now), now, p.silence, policy)
+	usable := u.usable(p.heardUpTo(now), now, p.silence, policy) && !p.changing(u)
 	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
 		p.answering.Fix(u)
 	} else {
@@ -125,6 +126,15 @@
 	}
 }
 
+// changing reports whether an engine is ordered to become something else: it refuses work until it has.
+func (p *pool) changing(u *upstream) bool {
+	if !u.Sized {
+		return false
+	}
+	want, ok := p.tables.Assignment(u.ID)
+	return ok && !want.Met(&u.Announcement)
+}
+
 // heardUpTo is the time up to which the silence of an upstream is counted.
 func (p *pool) heardUpTo(now time.Time) time.Time {
 	if p.passedOn {
@@ -221,6 +231,9 @@
 	h.placed.Prefill, h.placed.PrefillAddr = prefill.best.ID, prefill.best.Addr
 	h.prefill = max(1, w.ask.Prompt-prefill.best.cached(w.ask.Blocks))
 	p.reserve(h, now)
+	if p.pace.perToken > 0 {
+		h.placed.Expect = prefill.best.busy.Sub(now)
+	}
 	p.remember(prefill.best, w.ask.Blocks)
 	return h, prefill, verdictPlaced
 }
--- a/core/dispatch/shift.go
+++ b/core/dispatch/shift.go
@@ -8,6 +8,8 @@
 
 // A pool's engines change roles when one half has been busy and the other idle for a while. The gap between the bounds
 // for going and for coming back is the hysteresis, and shiftPause lets a change show before the next one.
+// Engines that the configuration gives the size of read prompts by themselves where no prefill engine is free, so their
+// pools can do with fewer prefill engines, and change sooner.
 const (
 	busyPrefill = 0.85
 	idlePrefill = 0.40
@@ -22,8 +24,22 @@
 	steady    = 0.05
 	// minEngines stay in each half.
 	minEngines = 2
+
+	sizedBusyDecode  = 0.70
+	sizedIdlePrefill = 0.70
+	sizedIdleDecode  = 0.60
 )
 
+// bounds are the loads at which a pool's engines change roles.
+type bounds struct{ busyDecode, idlePrefill, idleDecode float64 }
+
+func (p *pool) bounds() bounds {
+	if p.engine != nil {
+		return bounds{sizedBusyDecode, sizedIdlePrefill, sizedIdleDecode}
+	}
+	return bounds{busyDecode, idlePrefill, idleDecode}
+}
+
 // load is how busy the two halves of a pool have been lately, from 0 to 1.
 type load struct {
 	prefill float64
@@ -71,10 +87,11 @@
 	}
 	var from []*upstream
 	var to core.Role
+	b := p.bounds()
 	switch {
-	case p.load.prefill > busyPrefill && !p.load.rising && without(p.load.decode, len(decoders)) < idleDecode:
+	case p.load.prefill > busyPrefill && !p.load.rising && without(p.load.decode, len(decoders)) < b.idleDecode:
 		from, to = decoders, core.RolePrefill
-	case p.load.decode > busyDecode && without(p.load.prefill, len(prefillers)) < idlePrefill:
+	case p.load.decode > b.busyDecode && without(p.load.prefill, len(prefillers)) < b.idlePrefill:
 		from, to = prefillers, core.RoleDecode
 	}
 	if to != p.load.to {
--- a/core/document.go
+++ b/core/document.go
@@ -46,6 +46,8 @@
 	TokenBytes int64 `cbor:"tokenBytes" json:"tokenBytes"`
 	// HandleLife is how long a prefill's result is kept.
 	HandleLife time.Duration `cbor:"handleLife" json:"handleLife"`
+	// ChecksFencing engines refuse an order with an old fencing number.
+	ChecksFencing bool `cbor:"checksFencing" json:"checksFencing"`
 }
 
 // CallerLimits bounds what callers may send and how long they may take.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -35,6 +35,8 @@
 	draining bool
 	drained  bool
 	lameDuck bool
+	// streamsUntil is until when a host that will shut down takes streams.
+	streamsUntil time.Time
 	// upstreams is true while there is one to send work to.
 	upstreams bool
 	// list is when the dispatchers are next told what this host has.
@@ -102,7 +104,7 @@
 		p.upstreams = e.Count > 0
 		p.publish(t)
 	case core.LameDuck:
-		p.lameDuck = true
+		p.lameDuck, p.streamsUntil = true, e.StreamsUntil
 		p.publish(t)
 	case core.Draining:
 		p.draining = true
@@ -144,6 +146,9 @@
 		return
 	}
 	a, f := p.admit(t, &r)
+	if f == nil && p.lameDuck && a.route.Stream && !t.Now.Before(p.streamsUntil) {
+		f = core.Fail(core.KindNotReady, "the host is shutting down")
+	}
 	if f == nil && p.requests[r.ID] != nil {
 		f = core.Fail(core.KindBadRequest, "a request with this ID is under way")
 	}
@@ -164,7 +169,7 @@
 		p.quotaTaken(t, r.ID)
 		return
 	}
-	t.Post(core.QuotaWanted{Request: r.ID, Account: a.account.ID, Cost: a.cost})
+	t.Post(core.QuotaWanted{Request: r.ID, Account: a.account.ID, Cost: a.cost, Patience: rq.quotaPatience()})
 }
 
 func (p *part) quotaTaken(t *core.Turn, id core.RequestID) {
@@ -307,7 +312,7 @@
 	}
 	r.stage = stagePrefill
 	p.arm(r)
-	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Instance: m.Prefill, Account: r.account.ID, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: prefillTimeout})
+	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Instance: m.Prefill, Account: r.account.ID, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: r.prefillWait()})
 }
 
 func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -24,8 +24,11 @@
 	// maxResumes bounds how often a stream is resumed at the same engine.
 	maxResumes     = 2
 	prefillTimeout = 10 * time.Second
-	tokenSilence   = 2 * time.Second
-	placeResend    = 300 * time.Millisecond
+	// overdue times the expected time and prefillSlack, a prefill is waited for that a decode engine can do as well.
+	overdue      = 3
+	prefillSlack = 150 * time.Millisecond
+	tokenSilence = 2 * time.Second
+	placeResend  = 300 * time.Millisecond
 	// unheardAfter is how long a dispatcher may take to answer an ask at all; one that did not is left alone for deafFor.
 	unheardAfter = 100 * time.Millisecond
 	deafFor      = time.Second
@@ -120,6 +123,15 @@
 // give a silent one up after four times the target.
 const streamPatience = 3
 
+// quotaPatience is how long the request may wait for tokens, or zero for the default. A stream leaves half of its target
+// to the engines; a call that gets none within its target is better refused while its caller can still come back.
+func (r *request) quotaPatience() time.Duration {
+	if r.route.Stream {
+		return r.route.Target / 2
+	}
+	return r.route.Target
+}
+
 // attempts is how many upstreams the request may be sent to.
 func (r *request) attempts() int {
 	if r.route.Attempts > 0 {
@@ -166,6 +178,15 @@
 	return r.route.Timeout
 }
 
+// prefillWait is how long the prefill may take. Where its decode engine can read the prompt as well, a prefill whose answer
+// is long overdue is given up, since it may never come.
+func (r *request) prefillWait() time.Duration {
+	if !r.route.Stream || r.placed.Expect == 0 {
+		return prefillTimeout
+	}
+	return min(prefillTimeout, overdue*r.placed.Expect+prefillSlack)
+}
+
 // silence is how long an upstream of a stream may say nothing. One that can't go on elsewhere is better waited for.
 func (r *request) silence(now time.Time) time.Duration {
 	if r.repeatable() {
--- a/core/message.go
+++ b/core/message.go
@@ -245,8 +245,10 @@
 	// Prefill is unset for a plain service; Decode is where the answer comes from.
 	Prefill     UpstreamID     `cbor:"prefill"`
 	PrefillAddr netip.AddrPort `cbor:"prefillAddr"`
-	Decode      UpstreamID     `cbor:"decode"`
-	DecodeAddr  netip.AddrPort `cbor:"decodeAddr"`
+	// Expect is how long the prefill should take, or zero where that is not known yet.
+	Expect     time.Duration  `cbor:"expect,omitempty"`
+	Decode     UpstreamID     `cbor:"decode"`
+	DecodeAddr netip.AddrPort `cbor:"decodeAddr"`
 }
 
 // PlaceRefused tells that an attempt gets no place.
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -15,6 +15,8 @@
 	Timeout = 30 * time.Second
 	// retryAfter is how long an engine that refused or failed an order is left alone.
 	retryAfter = 5 * time.Second
+	// settleTime is how long an engine may take to carry an order out that it has accepted.
+	settleTime = 15 * time.Second
 )
 
 const (
@@ -43,8 +45,10 @@
 	leading bool
 	epoch   core.Epoch
 	since   time.Time
-	tables  *core.Tables
-	wanted  map[core.UpstreamID]*wanted
+	// pause is how long a new leader gives no orders, since engines may not get them from two leaders in turn.
+	pause  time.Duration
+	tables *core.Tables
+	wanted map[core.UpstreamID]*wanted
 	// pending has when the confirmation under way was asked for.
 	pending core.Pending[time.Time]
 	asked   time.Time
@@ -56,8 +60,8 @@
 // Plugin returns the plug-in.
 func Plugin() core.Plugin { return core.Plugin{Name: "order", Rank: rank, New: newPart} }
 
-func newPart(core.Env) core.Part {
-	p := &part{tables: &core.Tables{}, wanted: map[core.UpstreamID]*wanted{}, pending: core.Pending[time.Time]{Mark: core.MarkOrder}}
+func newPart(env core.Env) core.Part {
+	p := &part{pause: env.OrderPause, tables: &core.Tables{}, wanted: map[core.UpstreamID]*wanted{}, pending: core.Pending[time.Time]{Mark: core.MarkOrder}}
 	return core.Part{Handle: p.handle, NextDeadline: func() time.Time { return p.next }, Gauges: p.gauges}
 }
 
@@ -106,7 +110,7 @@
 	}
 	p.next = time.Time{}
 	for id, w := range p.wanted {
-		if !w.ordered && t.Now.Sub(w.heard) > retryAfter {
+		if !w.ordered && t.Now.Sub(w.heard) > retryAfter && !t.Now.Before(w.after) {
 			delete(p.wanted, id)
 		}
 	}
@@ -142,6 +146,9 @@
 
 // fenced reports whether no order of an earlier leader can still take effect at an engine.
 func (p *part) fenced(t *core.Turn, w *wanted) bool {
+	if t.Now.Sub(p.since) < p.pause {
+		return false
+	}
 	checks := w.announcement.ChecksFencing && p.tables.Policy(w.announcement.Pool).ChecksFencing
 	return checks || t.Now.Sub(p.since) >= Valid+Timeout
 }
@@ -174,7 +181,9 @@
 		return
 	}
 	if e.Failure == nil {
-		delete(p.wanted, e.Upstream)
+		// The engine is what it should be only once it says so; until then the order is not repeated.
+		w.ordered = false
+		w.after = t.Now.Add(settleTime)
 		return
 	}
 	t.Decide(core.Decision{Part: "order", Choice: "failure", Reason: e.Failure.Error(), Target: string(e.Upstream)})
--- a/core/partevents.go
+++ b/core/partevents.go
@@ -1,10 +1,14 @@
 package core
 
+import "time"
+
 // QuotaWanted asks for the tokens that a request may use at most.
 type QuotaWanted struct {
 	Request RequestID
 	Account AccountID
 	Cost    Tokens
+	// Patience is how long the request may wait, or zero for the default.
+	Patience time.Duration
 }
 
 // QuotaTaken tells that a request may go on.
--- a/core/plugin.go
+++ b/core/plugin.go
@@ -64,6 +64,8 @@
 	Retries RetryBudget
 	// Quota says what hosts may spend that nobody has lent them.
 	Quota QuotaPolicy
+	// OrderPause is how long a new leader waits before it gives orders to engines.
+	OrderPause time.Duration
 	// Silence is how long an upstream may be silent before it gets no new work; zero means the default.
 	Silence time.Duration
 	// Rand is the kernel's only source of random numbers.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -102,12 +102,16 @@
 		h.deny(t, e.Request, core.Fail(core.KindOverRate, "the request takes %d tokens, the burst is %d", e.Cost, limit.Burst))
 		return
 	}
+	patience := Wait
+	if e.Patience > 0 {
+		patience = min(Wait, e.Patience)
+	}
 	a := h.account(t, e.Account)
 	if len(a.waiters) >= maxWaiting {
 		h.deny(t, e.Request, core.Fail(core.KindOverRate, "too many requests of the client account wait"))
 		return
 	}
-	a.waiters = append(a.waiters, waiter{request: e.Request, cost: e.Cost, till: t.Now.Add(Wait)})
+	a.waiters = append(a.waiters, waiter{request: e.Request, cost: e.Cost, till: t.Now.Add(patience)})
 	a.used = t.Now
 	h.serve(t, a)
 	h.payWhileSilent(t, e.Account, a)
--- a/core/request.go
+++ b/core/request.go
@@ -158,8 +158,8 @@
 }
 
 // LameDuck tells the parts that the host will shut down soon: it says that it is not ready, but still takes requests from
-// callers that have not heard of it.
-type LameDuck struct{}
+// callers that have not heard of it. Streams are refused from StreamsUntil on, since they would not end in time.
+type LameDuck struct{ StreamsUntil time.Time }
 
 // Draining tells the parts that the host is shutting down gracefully.
 type Draining struct{}
--- a/io/console/host.go
+++ b/io/console/host.go
@@ -27,6 +27,8 @@
 	// memoryPart is the part of the allowed memory up to which the garbage collector lets the heap grow.
 	memoryPart = 0.7
 	megabyte   = 1 << 20
+	// closingTime is kept of the drain timeout for closing down before the platform kills the process.
+	closingTime = 600 * time.Millisecond
 )
 
 // Execute runs a host until it is told to end; the first signal drains it, a second one ends it at once.
@@ -69,7 +71,7 @@
 // drain shuts down gracefully; a second signal ends it at once.
 func drain(d *daemon.Daemon, s *settings.Host, log zerolog.Logger, ends <-chan os.Signal) {
 	log.Info().Msg("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), s.Requests.DrainTimeout.Duration)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Requests.DrainTimeout.Duration-closingTime)
 	defer cancel()
 	go func() {
 		select {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderlever/core"
+	"oleanderlever/io/clock"
 	"oleanderlever/io/control"
 	"oleanderlever/io/settings"
 
@@ -109,6 +110,7 @@
 	if s.ServeStale {
 		env.Quota.StaleShare = staleShare
 	}
+	env.OrderPause = s.OrderPause.Duration
 	env.Silence = missedBeats * s.UpstreamBeat.Duration
 	env.Placement = placements[s.Placement]
 	if s.Retries.Share > 0 {
@@ -159,7 +161,7 @@
 // Drain shuts down gracefully: no new requests, and the running ones to their end or until the context ends.
 func (d *Daemon) Drain(ctx context.Context) {
 	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
-		d.host.Loop.Post(core.LameDuck{})
+		d.host.Loop.Post(core.LameDuck{StreamsUntil: clock.Now().Add(d.host.Settings.Requests.StreamsDuck.Duration)})
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -57,6 +57,8 @@
 	ServeStale bool `toml:"serveStale"`
 	// UpstreamBeat is how often upstreams announce themselves; after four missed beats one counts as silent.
 	UpstreamBeat Duration `toml:"upstreamBeat"`
+	// OrderPause is how long a new leader waits before it gives orders to engines.
+	OrderPause Duration `toml:"orderPause"`
 	// MemoryMB is what the process may use at most; the garbage collector keeps well below.
 	MemoryMB int64    `toml:"memoryMB"`
 	Retries  Retries  `toml:"retries"`
@@ -110,6 +112,8 @@
 	Callers netip.AddrPort `toml:"callers"`
 	Ready   netip.AddrPort `toml:"ready"`
 	Control netip.AddrPort `toml:"control"`
+	// Fenced is true where the platform's engines refuse orders with an old fencing number.
+	Fenced bool `toml:"fenced"`
 }
 
 // IsSet reports whether the host serves a platform, in place of callers, upstreams and operators of its own.
@@ -151,6 +155,8 @@
 	DrainTimeout Duration `toml:"drainTimeout"`
 	// LameDuck is how long a host that shuts down still takes requests while it says that it is not ready.
 	LameDuck Duration `toml:"lameDuck"`
+	// StreamsDuck is how long it still takes streams, which last longer.
+	StreamsDuck Duration `toml:"streamsDuck"`
 }
 
 // Default values of optional settings.
