core: a leader and a configuration sooner after a start; log lines for leaders, members and versions

Now a keeper waits 100 to 300 ms after a start, and a host without a configuration asks every 100 ms.

--- a/core/dispatch/listed.go
+++ b/core/dispatch/listed.go
@@ -54,6 +54,11 @@
 	}
 	if (n > 0) != p.usable {
 		p.usable = n > 0
+		reason := "no upstream can take work"
+		if p.usable {
+			reason = "an upstream can take work"
+		}
+		t.Decide(core.Decision{Part: "dispatch", Choice: "usable", Reason: reason, Score: float64(n)})
 		t.Post(core.UpstreamsUsable{Count: n})
 	}
 }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -64,10 +65,7 @@
 const endless = 100 * 365 * 24 * time.Hour
 
 func (h *holder) ask(t *core.Turn) {
-	h.renew = t.Now.Add(max(Renew, h.every))
-	if len(h.asks) > 0 {
-		h.renew = t.Now.Add(Renew)
-	}
+	h.renew = t.Now.Add(h.pause())
 	to := h.leader
 	if to == "" && len(h.keepers) > 0 {
 		to = h.keepers[h.turn%len(h.keepers)]
@@ -84,17 +82,35 @@
 	t.Send(to, core.LeaseAsk{Ask: h.next, Have: h.tables.Version})
 }
 
+// firstRenew is how often a host asks that has no configuration yet and can serve nobody.
+const firstRenew = 100 * time.Millisecond
+
+// pause is how long it is until the next ask.
+func (h *holder) pause() time.Duration {
+	switch {
+	case h.tables.Version == 0:
+		return firstRenew
+	case len(h.asks) > 0:
+		return Renew
+	}
+	return max(Renew, h.every)
+}
+
 // membersChanged takes every host with a data folder for one that may lead or know who does.
-func (h *holder) membersChanged(members []core.Member) {
+func (h *holder) membersChanged(t *core.Turn, members []core.Member) {
 	var keepers []core.HostID
 	for i := range members {
 		if members[i].Disk != "" {
 			keepers = append(keepers, members[i].Host)
 		}
 	}
-	if len(keepers) > 0 {
-		h.keepers = keepers
+	if len(keepers) == 0 {
+		return
+	}
+	if len(h.keepers) == 0 {
+		h.renew = t.Now
 	}
+	h.keepers = keepers
 }
 
 func (h *holder) redirected(t *core.Turn, m core.LeaseRedirect) {
@@ -126,6 +142,7 @@
 		t.Post(core.LeaseChanged{Until: until})
 	}
 	if h.leader != m.Leader || h.epoch != m.Epoch {
+		t.Decide(core.Decision{Part: "lease", Choice: "leader", Reason: fmt.Sprintf("epoch %d after %d", m.Epoch, h.epoch), Target: string(m.Leader)})
 		h.leader, h.epoch = m.Leader, m.Epoch
 		t.Post(core.LeaderKnown{Leader: m.Leader, Epoch: m.Epoch})
 	}
@@ -152,6 +169,7 @@
 	if next.Version != m.Version {
 		return false
 	}
+	t.Decide(core.Decision{Part: "lease", Choice: "inForce", Reason: fmt.Sprintf("version %d (revision %d) after %d", next.Version, next.Revision, h.tables.Version)})
 	h.tables = next
 	// The next ask tells the leader that the version is in force here.
 	h.renew = t.Now
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -54,7 +54,7 @@
 		p.grantor.leaderChanged(t, e)
 	case core.MembersChanged:
 		p.grantor.hosts = len(e.Members)
-		p.holder.membersChanged(e.Members)
+		p.holder.membersChanged(t, e.Members)
 	case core.ConfigApplied:
 		p.grantor.applied(t, e)
 	case core.Confirmed:
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"maps"
 	"math/bits"
 	"math/rand/v2"
@@ -81,6 +82,8 @@
 	next   time.Time
 	seedAt time.Time
 	dirty  bool
+	// told are the hosts that the log was told of, with their boots.
+	told map[core.HostID]uint64
 }
 
 func init() { core.Register(Plugin()) }
@@ -416,10 +419,29 @@
 		}
 		return 1
 	})
+	p.tellChanges(t, live)
 	t.Post(core.MembersChanged{Members: live})
 	t.Do(core.PeersChanged{Peers: live})
 }
 
+// tellChanges logs which hosts came and went since the last time.
+func (p *part) tellChanges(t *core.Turn, live []core.Member) {
+	now := make(map[core.HostID]uint64, len(live))
+	for i := range live {
+		m := &live[i]
+		now[m.Host] = m.Boot
+		if p.told[m.Host] != m.Boot {
+			t.Decide(core.Decision{Part: "member", Choice: "joined", Reason: fmt.Sprintf("boot %d, %d hosts live", m.Boot, len(live)), Target: string(m.Host)})
+		}
+	}
+	for _, h := range slices.Sorted(maps.Keys(p.told)) {
+		if _, ok := now[h]; !ok {
+			t.Decide(core.Decision{Part: "member", Choice: "gone", Reason: fmt.Sprintf("%d hosts live", len(live)), Target: string(h)})
+		}
+	}
+	p.told = now
+}
+
 func (p *part) nextDeadline() time.Time {
 	next := p.next
 	if p.probe.seq != 0 {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,6 +17,9 @@
 )
 
 const (
+	// firstElection bounds the wait for a leader right after a start. Where one works, its heartbeats come within that time,
+	// and the others refuse a promise anyway; where all keepers were started anew, waiting longer only costs time.
+	firstElection = 200 * time.Millisecond
 	// snapshotEvery is how many entries are applied between two snapshots.
 	snapshotEvery = 4096
 	// appendBytes bounds the entries of one message.
@@ -201,7 +205,7 @@
 		t.LoadSnapshot(p.log.snapshot)
 	}
 	p.applied = p.commit
-	p.resetElection(t)
+	p.election = t.Now.Add(firstElection/2 + time.Duration(p.rand.Int64N(int64(firstElection))))
 	if p.onlyVoter() || !p.formed() {
 		p.election = t.Now
 	}
@@ -327,6 +331,9 @@
 	if p.leader == leader && !p.ready {
 		return
 	}
+	if p.leader != leader {
+		t.Decide(core.Decision{Part: "replica", Choice: "leader", Reason: fmt.Sprintf("epoch %d, commit %d", p.hard.Epoch, p.commit), Target: string(leader)})
+	}
 	p.leader, p.ready = leader, false
 	t.Post(core.LeaderChanged{Leader: leader, Epoch: p.hard.Epoch})
 }
