--- /dev/null
+++ b/core/entry/route_test.go
@@ -0,0 +1,297 @@
+package entry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+	"oleanderlever/core/dispatch"
+	"oleanderlever/core/entry"
+	"oleanderlever/core/harness"
+)
+
+// desk is one host that places by its own ledger, with two upstreams of a plain service and two engines.
+type desk struct {
+	t      *testing.T
+	k      *core.Kernel
+	now    time.Time
+	did    []core.Action
+	others []core.HostID
+}
+
+func routed() *core.Tables {
+	d := &core.Document{
+		Revision: 1,
+		Accounts: []core.Account{{ID: "a", Weight: 1, Unlimited: true}},
+		Keys:     []core.Key{{ID: "k", Account: "a", Hash: core.KeyHash{1}}},
+		Pools:    []core.Pool{{ID: "desk"}, {ID: "verse", Engine: &core.Engine{Slots: 8, Memory: 10_000, Block: 16}}},
+		Routes: []core.Route{
+			{Name: "order", Host: "h", Path: "/order/", Pool: "desk", Timeout: 800 * time.Millisecond, Whole: true, Attempts: 1, Target: 100 * time.Millisecond},
+			{Name: "twice", Host: "h", Path: "/twice/", Pool: "desk", Timeout: 800 * time.Millisecond, Whole: true, Attempts: 2, Target: 100 * time.Millisecond},
+			{Name: "look", Host: "h", Path: "/look/", Pool: "desk", Timeout: 800 * time.Millisecond, Whole: true, Attempts: 2, Repeatable: true, Target: 100 * time.Millisecond},
+			{Name: "verse", Host: "h", Path: "/verse/", Pool: "verse", Timeout: 14 * time.Second, Whole: true, Attempts: 2, Stream: true, Resumable: true, Target: 900 * time.Millisecond},
+			{Name: "once", Host: "h", Path: "/once/", Pool: "verse", Timeout: 14 * time.Second, Whole: true, Attempts: 1, Stream: true, Target: 900 * time.Millisecond},
+		},
+	}
+	tables, err := (&core.Tables{}).Apply(&core.Change{Kind: core.ChangeReplace, Document: d})
+	if err != nil {
+		panic(err)
+	}
+	return tables
+}
+
+func newDesk(t *testing.T, retries core.RetryBudget, others ...core.HostID) *desk {
+	d := &desk{t: t, now: harness.Start, others: others}
+	env := core.Env{
+		Self: "h", Boot: 1, Limits: core.DefaultLimits(), Rand: rand.New(rand.NewPCG(1, 1)), Placement: core.PlacementMixed,
+		Retries: retries, Entry: true, Silence: 5 * time.Second,
+	}
+	d.k = core.New(env, dispatch.Plugin(), entry.Plugin(false))
+	d.step(core.Started{})
+	d.step(core.TablesChanged{Tables: routed()})
+	d.step(core.LeaseChanged{Until: d.now.Add(time.Hour)})
+	members := []core.Member{{Host: "h", Boot: 1, State: core.MemberAlive, Entry: true}}
+	for _, o := range others {
+		members = append(members, core.Member{Host: o, Boot: 1, State: core.MemberAlive, Entry: true})
+	}
+	d.step(core.MembersChanged{Members: members})
+	d.hear()
+	return d
+}
+
+// hear lets all upstreams announce themselves.
+func (d *desk) hear() {
+	var list core.UpstreamList
+	for n, u := range []core.Announcement{
+		{ID: "d1", Pool: "desk", Role: core.RoleService, Slots: 4},
+		{ID: "d2", Pool: "desk", Role: core.RoleService, Slots: 4},
+		{ID: "e1", Pool: "verse", Role: core.RoleDecode, Slots: 8, Sized: true},
+		{ID: "e2", Pool: "verse", Role: core.RoleDecode, Slots: 8, Sized: true},
+	} {
+		u.Addr, u.Incarnation, u.Seq = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80), 1, 1
+		list.Heard = append(list.Heard, core.HeardUpstream{Announcement: u})
+	}
+	d.step(core.Received{From: "k", Message: list})
+}
+
+func (d *desk) step(ev core.Event) { d.did = append(d.did, d.k.Step(d.now, ev)...) }
+
+// pass lets time go by with all ticks.
+func (d *desk) pass(span time.Duration) {
+	for end := d.now.Add(span); ; {
+		next := d.k.NextDeadline()
+		if next.IsZero() || next.After(end) {
+			d.now = end
+			return
+		}
+		d.now = next
+		d.step(core.Tick{})
+	}
+}
+
+func (d *desk) ask(id core.RequestID, path string) {
+	d.step(core.RequestArrived{Request: core.Request{
+		ID: id, Host: "h", Path: path, Key: core.KeyHash{1}, HasKey: true, Prompt: 1000, MaxOutput: 500, Deadline: d.now.Add(10 * time.Second),
+	}})
+}
+
+// done returns the actions of a type, for one request where the type names one.
+func done[T core.Action](d *desk) []T {
+	var out []T
+	for _, a := range d.did {
+		if x, ok := a.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (d *desk) refusal(id core.RequestID) *core.Failure {
+	for _, r := range done[core.Refuse](d) {
+		if r.Request == id {
+			return r.Failure
+		}
+	}
+	return nil
+}
+
+var (
+	cut    = core.Fail(core.KindUpstreamFailed, "cut")
+	unread = &core.Failure{Kind: core.KindUpstreamRefused, Message: "full", NotRun: true}
+	budget = core.RetryBudget{Share: 0.1, Burst: 20}
+)
+
+// What a failed call may lead to depends on whether it may run again, whether it ran, and how often it may be sent.
+func TestCallsAreRepeatedOnlyWhereThatIsAllowed(t *testing.T) {
+	failed := core.StoredAnswer{Status: 500}
+	for _, c := range []struct {
+		name, path string
+		ended      core.CallEnded
+		sends      int
+		notRun     bool
+	}{
+		{"order cut", "/order/1", core.CallEnded{Failure: cut}, 1, false},
+		{"order refused unread, one attempt", "/order/1", core.CallEnded{Failure: unread}, 1, true},
+		{"order refused unread, two attempts", "/twice/1", core.CallEnded{Failure: unread}, 2, true},
+		{"order cut, two attempts", "/twice/1", core.CallEnded{Failure: cut}, 1, false},
+		{"order failed, two attempts", "/twice/1", core.CallEnded{Answer: failed}, 1, false},
+		{"look cut", "/look/1", core.CallEnded{Failure: cut}, 2, false},
+		{"look failed", "/look/1", core.CallEnded{Answer: failed}, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(t, budget)
+			d.ask("r", c.path)
+			for n := 0; n < len(done[core.RunCall](d)); n++ {
+				c.ended.Attempt = done[core.RunCall](d)[n].Attempt
+				d.step(c.ended)
+			}
+			calls := done[core.RunCall](d)
+			require.Len(t, calls, c.sends)
+			if c.sends == 2 {
+				require.NotEqual(t, calls[0].Instance, calls[1].Instance)
+			}
+			if c.ended.Failure == nil {
+				require.Len(t, done[core.Finish](d), 1, "the upstream's own answer goes to the caller")
+				return
+			}
+			require.Equal(t, c.notRun, d.refusal("r").NotRun)
+		})
+	}
+}
+
+func TestStreamsGoOnOnlyWhereThatIsAllowed(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		failure    *core.Failure
+		sends      int
+	}{
+		{"resumable, broken", "/verse/1", cut, 2},
+		{"other, broken", "/once/1", cut, 1},
+		{"other, refused unread, one attempt", "/once/1", unread, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(t, budget)
+			d.ask("r", c.path)
+			for n := 0; n < len(done[core.RunDecode](d)); n++ {
+				d.step(core.DecodeEnded{Attempt: done[core.RunDecode](d)[n].Attempt, Relayed: 3, Failure: c.failure, Broken: !c.failure.NotRun})
+			}
+			require.Len(t, done[core.RunDecode](d), c.sends)
+			require.NotNil(t, d.refusal("r"))
+		})
+	}
+}
+
+// A route's timeout counts from the arrival, over all attempts, and ends whatever runs.
+func TestWholeRoutesEndAtTheirTimeout(t *testing.T) {
+	for path, timeout := range map[string]time.Duration{"/order/1": 800 * time.Millisecond, "/verse/1": 10 * time.Second} {
+		d := newDesk(t, budget)
+		d.ask("r", path)
+		d.pass(timeout - time.Millisecond)
+		require.Nil(t, d.refusal("r"), path)
+		d.pass(2 * time.Millisecond)
+		require.Equal(t, core.KindDeadline, d.refusal("r").Kind, path)
+		require.False(t, d.refusal("r").NotRun, path)
+		require.Len(t, done[core.BreakOff](d), 1, path)
+	}
+}
+
+func TestWorkForACallerThatIsGoneIsBrokenOff(t *testing.T) {
+	for path, broken := range map[string]int{"/look/1": 1, "/verse/1": 1, "/once/1": 1, "/order/1": 0} {
+		d := newDesk(t, budget)
+		d.ask("r", path)
+		d.step(core.CallerGone{Request: "r"})
+		require.Len(t, done[core.BreakOff](d), broken, path)
+	}
+}
+
+// The retries of all hosts together stay within the shared burst and the share of what was answered.
+func TestRetryBudgetIsShared(t *testing.T) {
+	rule := core.RetryBudget{Share: 0.1, Burst: 12, Shared: true}
+	retries := func(d *desk, requests int) int {
+		for n := range requests {
+			id := core.RequestID(fmt.Sprint("r", n))
+			d.ask(id, "/look/1")
+			for {
+				calls := done[core.RunCall](d)
+				last := calls[len(calls)-1]
+				if last.Attempt.Request != id || d.refusal(id) != nil {
+					break
+				}
+				d.step(core.CallEnded{Attempt: last.Attempt, Failure: unread})
+			}
+		}
+		return len(done[core.RunCall](d)) - requests
+	}
+	require.Equal(t, 12, retries(newDesk(t, rule), 50))
+	four := newDesk(t, rule, "b", "c", "d")
+	require.Equal(t, 3, retries(four, 50), "a quarter of the burst")
+	alone := newDesk(t, rule, "b", "c", "d")
+	alone.step(core.MembersChanged{Members: []core.Member{{Host: "h", Boot: 1, State: core.MemberAlive, Entry: true}}})
+	require.Equal(t, 3, retries(alone, 50), "a host that loses sight of the others keeps to its part")
+}
+
+// An ask that gets no word is placed by the own ledger; one that is queued is not.
+func TestSilentDispatcherIsDoneWithout(t *testing.T) {
+	silent := func() (*desk, core.HostID) {
+		for n := range 20 {
+			other := core.HostID(fmt.Sprint("o", n))
+			d := newDesk(t, budget, other)
+			d.ask("r", "/verse/1")
+			if len(done[core.RunDecode](d)) == 0 {
+				return d, other
+			}
+		}
+		require.Fail(t, "no other host won the pool")
+		return nil, ""
+	}
+	d, _ := silent()
+	d.pass(150 * time.Millisecond)
+	require.Len(t, done[core.RunDecode](d), 1)
+	d.ask("r2", "/verse/2")
+	require.Len(t, done[core.RunDecode](d), 2, "the dispatcher is left alone for a while")
+
+	d, other := silent()
+	d.step(core.Received{From: other, Message: core.PlaceQueued{Attempt: core.AttemptID{Request: "r", Number: 1}}})
+	d.pass(250 * time.Millisecond)
+	require.Empty(t, done[core.RunDecode](d))
+	d.pass(200 * time.Millisecond)
+	require.Len(t, done[core.RunDecode](d), 1, "then it fell silent")
+
+	d, other = silent()
+	d.pass(150 * time.Millisecond)
+	d.step(core.Received{From: other, Message: core.Placed{Attempt: core.AttemptID{Request: "r", Number: 1}, Pool: "verse", Decode: "e2"}})
+	back := done[core.SendMessage](d)
+	require.IsType(t, core.PlaceDone{}, back[len(back)-1].Message, "a place that comes too late is given back")
+	require.Len(t, done[core.RunDecode](d), 1)
+}
+
+func TestLameDuckTakesWhatCanStillEnd(t *testing.T) {
+	d := newDesk(t, budget)
+	d.step(core.LameDuck{StreamsUntil: d.now.Add(2 * time.Second)})
+	published := done[core.PublishState](d)
+	require.True(t, published[len(published)-1].Draining)
+	d.ask("s1", "/once/1")
+	d.ask("c1", "/order/1")
+	require.Nil(t, d.refusal("s1"))
+	require.Nil(t, d.refusal("c1"))
+	d.pass(2 * time.Second)
+	d.ask("s2", "/once/1")
+	d.ask("c2", "/order/1")
+	require.True(t, d.refusal("s2").NotRun)
+	require.Nil(t, d.refusal("c2"))
+	d.step(core.Draining{})
+	d.ask("c3", "/order/1")
+	require.True(t, d.refusal("c3").NotRun)
+}
+
+func TestHostWithoutAConfigurationIsNotReady(t *testing.T) {
+	d := newDesk(t, budget)
+	d.step(core.TablesChanged{Tables: &core.Tables{}})
+	d.ask("r", "/order/1")
+	require.Equal(t, core.KindNotReady, d.refusal("r").Kind)
+}
