--- /dev/null
+++ b/core/entry/ask.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"time"
+
+	"oleanderlever/core"
+)
+
+// askPlace starts the next attempt.
+func (p *part) askPlace(t *core.Turn, r *request) {
+	r.newAttempt(t.Now, p.boot)
+	r.stage = stagePlace
+	r.solo = p.owners.FallBack() && t.Now.Before(p.deaf)
+	if !p.places(r) {
+		p.listed[r.pool] = 0
+		if p.list.IsZero() {
+			p.list = t.Now.Add(listEvery)
+		}
+	}
+	p.sendAsk(t, r)
+}
+
+func (p *part) sendAsk(t *core.Turn, r *request) {
+	r.owner = p.ownerOf(r)
+	r.queued = false
+	r.resend = t.Now.Add(placeResend)
+	if p.mayGoSolo(r) {
+		r.resend = t.Now.Add(unheardAfter)
+	}
+	p.arm(r)
+	r.ask.Left = min(r.ask.Left, max(0, r.Deadline.Sub(t.Now)))
+	r.ask.Waited = t.Now.Sub(r.arrived)
+	t.Send(r.owner.host, r.ask)
+}
+
+// places reports whether the own ledger places a request because of its pool or because the dispatcher is not heard.
+func (p *part) places(r *request) bool {
+	return p.owners.FallBack() && (r.solo || r.plain)
+}
+
+// mayGoSolo reports whether a request's place comes from a dispatcher that this host can do without.
+func (p *part) mayGoSolo(r *request) bool {
+	return p.owners.FallBack() && !p.places(r) && r.owner.host != p.owners.Self().Host
+}
+
+// goSolo places a request by the own ledger, since the dispatcher did not answer.
+func (p *part) goSolo(t *core.Turn, r *request) {
+	t.Decide(core.Decision{Part: "entry", Choice: "solo", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
+	p.deaf = t.Now.Add(deafFor)
+	r.solo = true
+	p.sendAsk(t, r)
+}
+
+// asked notes that the dispatcher has queued an attempt, so that it is asked again only later.
+func (p *part) asked(r *request, a core.AttemptID, now time.Time) {
+	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo {
+		r.queued = true
+		r.resend = now.Add(placeResend)
+		p.arm(r)
+	}
+}
+
+// ownerOf returns who places a request's attempt.
+func (p *part) ownerOf(r *request) owner {
+	if p.places(r) {
+		m := p.owners.Self()
+		return owner{host: m.Host, boot: m.Boot}
+	}
+	return p.dispatcher(r.pool, r.plain)
+}
+
+func (p *part) dispatcher(pool core.PoolID, plain bool) owner {
+	m, _ := p.owners.Of(pool, plain, p.members)
+	return owner{host: m.Host, boot: m.Boot}
+}
+
+func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
+	r := p.requests[m.Attempt.Request]
+	if r == nil || r.attemptID() != m.Attempt || r.stage != stagePlace {
+		return
+	}
+	if m.Failure.Kind == core.KindNoUpstream && t.Now.Sub(r.arrived) < noUpstreamWait {
+		return
+	}
+	f := m.Failure
+	f.NotRun = !r.ran
+	p.refuse(t, r, &f)
+}
+
+// countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take
+// their parts of the retry budget.
+func (p *part) countHosts() {
+	n := 0
+	for i := range p.members {
+		if p.members[i].Entry {
+			n++
+		}
+	}
+	p.hosts = max(p.hosts, n)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"oleanderlever/core"
@@ -214,74 +212,6 @@
 	p.end(t, r)
 }
 
-// askPlace starts the next attempt.
-func (p *part) askPlace(t *core.Turn, r *request) {
-	r.newAttempt(t.Now, p.boot)
-	r.stage = stagePlace
-	r.solo = p.owners.FallBack() && t.Now.Before(p.deaf)
-	if !p.places(r) {
-		p.listed[r.pool] = 0
-		if p.list.IsZero() {
-			p.list = t.Now.Add(listEvery)
-		}
-	}
-	p.sendAsk(t, r)
-}
-
-func (p *part) sendAsk(t *core.Turn, r *request) {
-	r.owner = p.ownerOf(r)
-	r.queued = false
-	r.resend = t.Now.Add(placeResend)
-	if p.mayGoSolo(r) {
-		r.resend = t.Now.Add(unheardAfter)
-	}
-	p.arm(r)
-	r.ask.Left = min(r.ask.Left, max(0, r.Deadline.Sub(t.Now)))
-	r.ask.Waited = t.Now.Sub(r.arrived)
-	t.Send(r.owner.host, r.ask)
-}
-
-// places reports whether the own ledger places a request because of its pool or because the dispatcher is not heard.
-func (p *part) places(r *request) bool {
-	return p.owners.FallBack() && (r.solo || r.plain)
-}
-
-// mayGoSolo reports whether a request's place comes from a dispatcher that this host can do without.
-func (p *part) mayGoSolo(r *request) bool {
-	return p.owners.FallBack() && !p.places(r) && r.owner.host != p.owners.Self().Host
-}
-
-// goSolo places a request by the own ledger, since the dispatcher did not answer.
-func (p *part) goSolo(t *core.Turn, r *request) {
-	t.Decide(core.Decision{Part: "entry", Choice: "solo", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
-	p.deaf = t.Now.Add(deafFor)
-	r.solo = true
-	p.sendAsk(t, r)
-}
-
-// asked notes that the dispatcher has queued an attempt, so that it is asked again only later.
-func (p *part) asked(r *request, a core.AttemptID, now time.Time) {
-	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo {
-		r.queued = true
-		r.resend = now.Add(placeResend)
-		p.arm(r)
-	}
-}
-
-// ownerOf returns who places a request's attempt.
-func (p *part) ownerOf(r *request) owner {
-	if p.places(r) {
-		m := p.owners.Self()
-		return owner{host: m.Host, boot: m.Boot}
-	}
-	return p.dispatcher(r.pool, r.plain)
-}
-
-func (p *part) dispatcher(pool core.PoolID, plain bool) owner {
-	m, _ := p.owners.Of(pool, plain, p.members)
-	return owner{host: m.Host, boot: m.Boot}
-}
-
 func (p *part) placed(t *core.Turn, from core.HostID, m core.Placed) {
 	r := p.requests[m.Attempt.Request]
 	if r == nil || r.attemptID() != m.Attempt || (r.stage == stagePlace && r.gone) {
@@ -315,19 +245,6 @@
 	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Instance: m.Prefill, Account: r.account.ID, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: r.prefillWait()})
 }
 
-func (p *part) placeRefused(t *core.Turn, m core.PlaceRefused) {
-	r := p.requests[m.Attempt.Request]
-	if r == nil || r.attemptID() != m.Attempt || r.stage != stagePlace {
-		return
-	}
-	if m.Failure.Kind == core.KindNoUpstream && t.Now.Sub(r.arrived) < noUpstreamWait {
-		return
-	}
-	f := m.Failure
-	f.NotRun = !r.ran
-	p.refuse(t, r, &f)
-}
-
 func (p *part) prefillEnded(t *core.Turn, e core.PrefillEnded) {
 	r := p.requests[e.Attempt.Request]
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
@@ -432,59 +349,6 @@
 	}
 }
 
-// failedStatus is the first of the status codes by which an upstream says that it failed.
-const failedStatus = 500
-
-func failedAnswer(a *core.StoredAnswer) *core.Failure {
-	return core.Fail(core.KindUpstreamFailed, "the upstream answered status %d", a.Status)
-}
-
-// blame returns the upstream that a failed attempt counts against, or an empty name.
-func blame(f *core.Failure, failed core.UpstreamID) core.UpstreamID {
-	switch f.Kind {
-	case core.KindBadRequest, core.KindUpstreamRefused, core.KindCancelled:
-		return ""
-	}
-	return failed
-}
-
-// retry asks for another place for a request whose attempt has failed, if that is allowed and the budget lasts.
-func (p *part) retry(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) bool {
-	allowed := r.mayRetry(f) || (p.retryAll && r.ask.Attempt.Number < maxAttempts)
-	if !allowed || !p.budget(r.pool).spend(p.retries, p.hosts) {
-		return false
-	}
-	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
-	r.avoid = append(r.avoid, failed)
-	t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
-	p.askPlace(t, r)
-	return true
-}
-
-// attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
-func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
-	r.ran = r.ran || !f.NotRun
-	if p.retry(t, r, f, failed) {
-		return
-	}
-	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
-	out := *f
-	if r.service && !r.route.Repeatable && !f.NotRun {
-		out.Kind = core.KindOutcomeUnknown
-	}
-	out.NotRun = !r.ran
-	p.refuse(t, r, &out)
-}
-
-func (p *part) budget(pool core.PoolID) *budget {
-	b := p.budgets[pool]
-	if b == nil {
-		b = &budget{credit: budgetMost(p.retries, p.hosts)}
-		p.budgets[pool] = b
-	}
-	return b
-}
-
 // refuse answers with an error and ends the request; a recorded call is resolved by what is known of it.
 func (p *part) refuse(t *core.Turn, r *request, f *core.Failure) {
 	if r == nil {
@@ -530,71 +394,6 @@
 	}
 }
 
-// callerGone frees what the request holds. A call at a plain service can't be taken back and runs to its end, so that
-// its outcome can be recorded.
-func (p *part) callerGone(t *core.Turn, id core.RequestID) {
-	r := p.requests[id]
-	if r == nil || r.gone {
-		return
-	}
-	r.gone = true
-	gone := core.Fail(core.KindCancelled, "the caller is gone")
-	switch r.stage {
-	case stageQuota, stagePlace:
-		p.stopWaiting(t, r, gone)
-	case stageCall:
-		if r.route.Whole && r.repeatable() {
-			p.breakOff(t, r, gone)
-		}
-	case stagePrefill, stageDecode:
-		p.breakOff(t, r, gone)
-	}
-}
-
-// breakOff gives up an attempt that runs.
-func (p *part) breakOff(t *core.Turn, r *request, f *core.Failure) {
-	r.ran = true
-	t.Do(core.BreakOff{Attempt: r.attemptID()})
-	p.sendDone(t, r, core.PlaceDone{Cancel: true})
-	p.refuse(t, r, f)
-}
-
-// countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take
-// their parts of the retry budget.
-func (p *part) countHosts() {
-	n := 0
-	for i := range p.members {
-		if p.members[i].Entry {
-			n++
-		}
-	}
-	p.hosts = max(p.hosts, n)
-}
-
-// refuseWithdrawn refuses the requests that have not started when their key is withdrawn.
-func (p *part) refuseWithdrawn(t *core.Turn) {
-	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
-		r := p.requests[id]
-		if r.account.ID == "" || (r.stage != stageQuota && r.stage != stagePlace) {
-			continue
-		}
-		if _, ok := p.tables.KeyByHash(r.Key); ok {
-			continue
-		}
-		p.stopWaiting(t, r, core.Fail(core.KindBadKey, "the key was withdrawn"))
-	}
-}
-
-// stopWaiting refuses a request that waits for tokens or for a place.
-func (p *part) stopWaiting(t *core.Turn, r *request, f *core.Failure) {
-	if r.stage == stageQuota {
-		t.Post(core.QuotaForget{Request: r.ID, Account: r.account.ID})
-	} else {
-		p.sendDone(t, r, core.PlaceDone{})
-	}
-	p.refuse(t, r, f)
-}
-
 func (p *part) gauges(set func(string, int64)) {
 	set("requests", int64(len(p.requests)))
 	set("donesOpen", int64(len(p.dones)))
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -12,9 +12,6 @@
 	"oleanderlever/io/upstream"
 )
 
-// instructionRoom is more instructions than the core gives a request at once.
-const instructionRoom = 8
-
 // begun is what the handler answers with: a stream, a service's answer, or a whole body.
 type begun struct {
 	stream  io.ReadCloser
@@ -29,10 +26,10 @@
 	id     core.RequestID
 	loop   *control.Loop
 	client *upstream.Client
-	// instructions are the core's; begun gets one answer, as soon as its first byte is known.
-	instructions chan core.Action
-	begun        chan begun
-	ended        chan struct{}
+	// line brings the core's instructions; begun gets one answer, as soon as its first byte is known.
+	line  *control.Exchange
+	begun chan begun
+	ended chan struct{}
 
 	model  *modelBody
 	shape  shape
@@ -49,7 +46,7 @@
 // run follows the core's instructions until the request is over.
 func (x *exchange) run() {
 	defer close(x.ended)
-	for a := range x.instructions {
+	for a := range x.line.Instructions {
 		switch a := a.(type) {
 		case core.RunPrefill:
 			x.prefill(a)
@@ -186,6 +183,6 @@
 func newExchange(id core.RequestID, loop *control.Loop, client *upstream.Client) *exchange {
 	return &exchange{
 		id: id, loop: loop, client: client, shape: shape{id: id, created: time.Now()},
-		instructions: make(chan core.Action, instructionRoom), begun: make(chan begun, 1), ended: make(chan struct{}),
+		line: control.NewExchange(), begun: make(chan begun, 1), ended: make(chan struct{}),
 	}
 }
--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,8 +40,8 @@
 	boot     string
 	next     atomic.Uint64
 
-	mu        sync.Mutex
-	exchanges map[core.RequestID]*exchange
+	// exchanges are the requests under way.
+	exchanges *control.Exchanges
 }
 
 func open(h *control.Host) (control.Instance, error) {
@@ -55,7 +54,7 @@
 	}
 	s := &server{
 		loop: h.Loop, client: upstream.NewClient(h.Settings.Credentials.UpstreamSecret), settings: h.Settings, log: h.Log,
-		boot: newBootID(h.Settings.Host), exchanges: map[core.RequestID]*exchange{},
+		boot: newBootID(h.Settings.Host), exchanges: control.NewExchanges(),
 	}
 	s.state.Store(&core.PublishState{Tables: &core.Tables{}})
 	web := s.web()
@@ -90,60 +89,27 @@
 	switch a := a.(type) {
 	case core.PublishState:
 		s.state.Store(&a)
-	case core.RunPrefill:
-		s.instruct(a.Attempt.Request, a)
-	case core.RunDecode:
-		s.instruct(a.Attempt.Request, a)
-	case core.RunCall:
-		s.instruct(a.Attempt.Request, a)
-	case core.Finish:
-		s.instruct(a.Request, a)
-	case core.GiveStored:
-		s.instruct(a.Request, a)
-	case core.Refuse:
-		s.instruct(a.Request, a)
 	}
-}
-
-// instruct never blocks: the core gives a request its next step only after the last one was reported, and one more
-// when the caller goes.
-func (s *server) instruct(id core.RequestID, a core.Action) {
-	s.mu.Lock()
-	x := s.exchanges[id]
-	s.mu.Unlock()
-	if x == nil {
-		return
-	}
-	select {
-	case x.instructions <- a:
-	default:
-		s.log.Error().Str("request", string(id)).Msg("a request has more instructions than it can hold")
+	if !s.exchanges.Perform(a) {
+		s.log.Error().Type("action", a).Msg("a request has more instructions than it can hold")
 	}
 }
 
 // begin registers an exchange and gives its request to the core.
 func (s *server) begin(x *exchange, r core.Request, gone <-chan struct{}) bool {
-	s.mu.Lock()
-	s.exchanges[x.id] = x
-	s.mu.Unlock()
+	s.exchanges.Add(x.id, x.line)
 	if !s.loop.TryPost(core.RequestArrived{Request: r}) {
-		s.forget(x.id)
+		s.exchanges.Remove(x.id)
 		return false
 	}
 	go func() {
-		defer s.forget(x.id)
+		defer s.exchanges.Remove(x.id)
 		x.run()
 	}()
 	go x.watch(gone)
 	return true
 }
 
-func (s *server) forget(id core.RequestID) {
-	s.mu.Lock()
-	delete(s.exchanges, id)
-	s.mu.Unlock()
-}
-
 func (s *server) newID() core.RequestID {
 	return core.RequestID(s.boot + strconv.FormatUint(s.next.Add(1), 36))
 }
--- a/platform/framing.go
+++ b/io/http1/header.go
@@ -1,4 +1,4 @@
-package platform
+package http1
 
 import (
 	"bufio"
@@ -19,24 +19,26 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
-// reader reads requests from a connection.
-type reader struct {
+// Reader reads requests from a connection.
+type Reader struct {
 	conn io.Reader
-	br   *bufio.Reader
+	// Buffered is where requests are read from; a long header may replace it.
+	Buffered *bufio.Reader
 }
 
-func newReader(conn io.Reader) *reader {
-	return &reader{conn: conn, br: bufio.NewReaderSize(conn, readSize)}
+// NewReader returns a Reader of a connection.
+func NewReader(conn io.Reader) *Reader {
+	return &Reader{conn: conn, Buffered: bufio.NewReaderSize(conn, readSize)}
 }
 
-// header waits for a whole header and returns its bytes, which stay to be read. The library that parses it mends what it
+// Header waits for a whole header and returns its bytes, which stay to be read. The library that parses it mends what it
 // finds, so doubtful bytes are only seen here.
-func (r *reader) header(limit int) ([]byte, *core.Failure) {
+func (r *Reader) Header(limit int) ([]byte, *core.Failure) {
 	if limit <= 0 {
 		limit = maxHeaderBytes
 	}
 	for want := 1; ; {
-		b, err := r.br.Peek(max(want, r.br.Buffered()))
+		b, err := r.Buffered.Peek(max(want, r.Buffered.Buffered()))
 		if i := bytes.Index(b, headerEnd); i >= 0 {
 			return b[:i+len(headerEnd)], nil
 		}
@@ -53,13 +55,13 @@
 }
 
 // grow goes on with a buffer that holds the longest header.
-func (r *reader) grow(limit int, held []byte) {
+func (r *Reader) grow(limit int, held []byte) {
 	whole := io.MultiReader(bytes.NewReader(bytes.Clone(held)), r.conn)
-	r.br = bufio.NewReaderSize(whole, limit+readSize)
+	r.Buffered = bufio.NewReaderSize(whole, limit+readSize)
 }
 
-// checkFraming refuses a header whose lines, or the length of whose body, two servers could read differently.
-func checkFraming(raw []byte) *core.Failure {
+// CheckFraming refuses a header whose lines, or the length of whose body, two servers could read differently.
+func CheckFraming(raw []byte) *core.Failure {
 	lengths, encodings := 0, 0
 	first := true
 	for line := range bytes.Lines(raw) {
--- /dev/null
+++ b/io/http1/http1_test.go
@@ -0,0 +1,117 @@
+package http1_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"oleanderlever/io/http1"
+)
+
+func TestHeaderIsReadWhole(t *testing.T) {
+	long := "GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 10_000) + "\r\n\r\n"
+	for _, read := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.OneByteReader, iotest.HalfReader} {
+		r := http1.NewReader(read(strings.NewReader(long + "body")))
+		raw, f := r.Header(16384)
+		require.Nil(t, f)
+		require.Equal(t, long, string(raw))
+		var h fasthttp.RequestHeader
+		require.NoError(t, h.Read(r.Buffered))
+		rest, err := io.ReadAll(r.Buffered)
+		require.NoError(t, err)
+		require.Equal(t, "body", string(rest))
+	}
+	_, f := http1.NewReader(strings.NewReader(long)).Header(5000)
+	require.NotNil(t, f, "longer than the limit")
+	_, f = http1.NewReader(strings.NewReader(long[:500])).Header(16384)
+	require.NotNil(t, f, "cut short")
+}
+
+func TestFraming(t *testing.T) {
+	for text, ok := range map[string]bool{
+		"GET /a b: HTTP/1.1\r\n\r\n":                                       true,
+		"GET / HTTP/1.1\r\nA: b\r\nContent-Length: 4\r\n\r\n":              true,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n":             true,
+		"GET / HTTP/1.1\nA: b\r\n\r\n":                                     false,
+		"GET / HTTP/1.1\r\nA: b\rContent-Length: 4\r\n\r\n":                false,
+		"GET / HTTP/1.1\r\nA: b\x00\r\n\r\n":                               false,
+		"GET / HTTP/1.1\r\n: b\r\n\r\n":                                    false,
+		"GET / HTTP/1.1\r\ncontent-length: 1\r\nContent-Length: 1\r\n\r\n": false,
+	} {
+		require.Equal(t, ok, http1.CheckFraming([]byte(text)) == nil, "%q", text)
+	}
+}
+
+func answer(t *testing.T, head, body string) ([]string, error) {
+	br := bufio.NewReader(strings.NewReader(head + "\r\n" + body))
+	var h fasthttp.ResponseHeader
+	require.NoError(t, h.Read(br))
+	events := http1.NewEvents(http1.Body(br, &h))
+	var out []string
+	for {
+		e, err := events.Next()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, string(e))
+	}
+}
+
+func TestEventsOfABody(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, head, body string
+		events           int
+		whole            bool
+	}{
+		{"chunked", start + "Transfer-Encoding: chunked\r\n", "7\r\nid: 1\n\n\r\n4\r\nid: \r\n3\r\n2\n\n\r\n0\r\n\r\n", 2, true},
+		{"chunked, no end", start + "Transfer-Encoding: chunked\r\n", "7\r\nid: 1\n\n\r\n", 1, false},
+		{"chunked, cut in an event", start + "Transfer-Encoding: chunked\r\n", "7\r\nid: 1\n\n\r\n4\r\nid: \r\n0\r\n\r\n", 1, false},
+		{"length", start + "Content-Length: 7\r\n", "id: 1\n\n", 1, true},
+		{"length, cut", start + "Content-Length: 14\r\n", "id: 1\n\n", 1, false},
+		{"to the end", start + "Connection: close\r\n", "id: 1\r\n\r\nid: 2\r\n\r\n", 2, true},
+		{"none", start + "Content-Length: 0\r\n", "", 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			events, err := answer(t, c.head, c.body)
+			require.Len(t, events, c.events)
+			require.Equal(t, c.whole, err == io.EOF, "%v", err)
+		})
+	}
+}
+
+func TestEventNumbers(t *testing.T) {
+	for text, want := range map[string]int64{"id: 7\ndata: x\n\n": 7, "data: x\nid:12\n\n": 12, "data: id: 5\n\n": -1, "id: x\n\n": -1} {
+		id, ok := http1.EventID([]byte(text))
+		if want < 0 {
+			require.False(t, ok, text)
+			continue
+		}
+		require.Equal(t, uint64(want), id, text)
+	}
+}
+
+// Whatever passes the check and is parsed has one reading of its length.
+func FuzzHeader(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd"))
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := http1.NewReader(bytes.NewReader(text))
+		raw, failure := r.Header(16384)
+		if failure != nil || http1.CheckFraming(raw) != nil {
+			return
+		}
+		var h fasthttp.RequestHeader
+		if h.Read(r.Buffered) != nil {
+			return
+		}
+		lower := strings.ToLower(string(raw))
+		require.False(t, strings.Contains(lower, "\r\ncontent-length:") && strings.Contains(lower, "\r\ntransfer-encoding:"))
+	})
+}
--- a/platform/links.go
+++ b/io/links/links.go
@@ -1,4 +1,4 @@
-package platform
+package links
 
 import (
 	"bufio"
@@ -29,32 +29,33 @@
 	linkSize = 4096
 )
 
-// upstreamKey names one start of an upstream at one address.
-type upstreamKey struct {
-	addr     netip.AddrPort
-	instance core.UpstreamID
+// Key names one start of an upstream at one address.
+type Key struct {
+	Addr     netip.AddrPort
+	Instance core.UpstreamID
 }
 
-// link is a connection to an upstream.
-type link struct {
+// Link is a connection to an upstream.
+type Link struct {
 	net.Conn
-	br *bufio.Reader
-	// used links have carried an answer before; until is when an idle one is too old.
-	used  bool
+	// Buffered is where its answers are read from.
+	Buffered *bufio.Reader
+	// until is when an idle link is too old.
 	until time.Time
 }
 
-// links keeps idle connections to upstreams.
-type links struct {
+// Pool keeps idle connections to upstreams.
+type Pool struct {
 	mu    sync.Mutex
-	idle  map[upstreamKey][]*link
+	idle  map[Key][]*Link
 	swept time.Time
 }
 
-func newLinks() *links { return &links{idle: map[upstreamKey][]*link{}} }
+// New returns a Pool without connections.
+func New() *Pool { return &Pool{idle: map[Key][]*Link{}} }
 
-// get returns an idle connection that is still good, or opens one.
-func (s *links) get(k upstreamKey) (*link, error) {
+// Get returns an idle connection that is still good, or opens one.
+func (s *Pool) Get(k Key) (*Link, error) {
 	for {
 		l := s.take(k)
 		if l == nil {
@@ -67,7 +68,7 @@
 	}
 }
 
-func (s *links) take(k upstreamKey) *link {
+func (s *Pool) take(k Key) *Link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.idle[k]
@@ -81,18 +82,18 @@
 	return l
 }
 
-func dial(k upstreamKey) (*link, error) {
-	conn, err := socket.Dialer(dialTimeout).Dial("tcp", k.addr.String())
+func dial(k Key) (*Link, error) {
+	conn, err := socket.Dialer(dialTimeout).Dial("tcp", k.Addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	return &link{Conn: conn, br: bufio.NewReaderSize(conn, linkSize)}, nil
+	return &Link{Conn: conn, Buffered: bufio.NewReaderSize(conn, linkSize)}, nil
 }
 
 // quiet reports whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
-func (l *link) quiet() bool {
+func (l *Link) quiet() bool {
 	raw, err := l.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil || l.br.Buffered() > 0 {
+	if err != nil || l.Buffered.Buffered() > 0 {
 		return false
 	}
 	var peek [1]byte
@@ -104,14 +105,14 @@
 	return err == nil && errors.Is(got, unix.EAGAIN)
 }
 
-// put keeps a connection for later, or closes it if its answer does not allow that.
-func (s *links) put(k upstreamKey, l *link, h *fasthttp.ResponseHeader) {
+// Put keeps a connection for later, or closes it if its answer does not allow that.
+func (s *Pool) Put(k Key, l *Link, h *fasthttp.ResponseHeader) {
 	life := idleTime(h)
-	if h.ConnectionClose() || l.br.Buffered() > 0 || life <= 0 || l.SetDeadline(time.Time{}) != nil {
+	if h.ConnectionClose() || l.Buffered.Buffered() > 0 || life <= 0 || l.SetDeadline(time.Time{}) != nil {
 		_ = l.Close()
 		return
 	}
-	l.used, l.until = true, clock.Now().Add(time.Duration(idleMargin*float64(life)))
+	l.until = clock.Now().Add(time.Duration(idleMargin * float64(life)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep()
@@ -124,7 +125,7 @@
 
 // idleTime reads the time from a header such as "Keep-Alive: timeout=5".
 func idleTime(h *fasthttp.ResponseHeader) time.Duration {
-	for part := range strings.SplitSeq(string(h.Peek(headerKeepAlive)), ",") {
+	for part := range strings.SplitSeq(string(h.Peek(fasthttp.HeaderKeepAlive)), ",") {
 		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if s, err := strconv.Atoi(text); err == nil {
 				return time.Duration(s) * time.Second
@@ -138,7 +139,7 @@
 const sweepEvery = time.Second
 
 // sweep closes the connections that have been idle for too long.
-func (s *links) sweep() {
+func (s *Pool) sweep() {
 	now := clock.Now()
 	if now.Sub(s.swept) < sweepEvery {
 		return
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestExamplesAreGood(t *testing.T) {
-	for _, name := range []string{"single.toml", "fleet.toml"} {
+	for _, name := range []string{"single.toml", "fleet.toml", "platform.toml"} {
 		_, err := settings.Parse([]byte(example(t, name)))
 		require.NoError(t, err, name)
 	}
@@ -38,6 +38,15 @@
 		{"short secret", "fleet.toml", `hostSecret = "replace-with-32-random-bytes"`, `hostSecret = "short"`, "line 23: credentials.hostSecret"},
 		{"half of tls", "single.toml", "[requests]", "[tls]\ncertificate = \"a\"\n\n[requests]", "tls.key"},
 		{"bad duration", "single.toml", `timeout = "60s"`, `timeout = "sixty"`, "line 19: requests.timeout"},
+		{"host is not its IP number", "platform.toml", `host = "10.1.0.28"`, `host = "core-1"`, "line 2: host"},
+		{"keepers beside seeds", "platform.toml", "tolerate = 1", "keepers = [\"10.1.0.28\"]", "line 7: keepers"},
+		{"no seeds", "platform.toml", `seeds = ["10.1.0.28:8229","10.2.0.19:8229","10.3.0.17:8229"]`, "seeds = []", "line 9: seeds"},
+		{"source of keepers", "platform.toml", `keepersFrom = "seeds"`, `keepersFrom = "stars"`, "line 6: keepersFrom"},
+		{"tolerance", "platform.toml", "tolerate = 1", "tolerate = 40", "line 7: tolerate"},
+		{"placement", "platform.toml", `placement = "mixed"`, `placement = "none"`, "line 12: placement"},
+		{"memory", "platform.toml", "memoryMB = 280", "memoryMB = -1", "line 16: memoryMB"},
+		{"negative slack", "platform.toml", "slack = 140000", "slack = -5", "line 27: quota.slack"},
+		{"network not trusted", "platform.toml", "trustNetwork = true", "trustNetwork = false", "line 19: listen.hosts"},
 		{"tiny body", "single.toml", "maxBodyBytes = 8388608", "maxBodyBytes = 5", "line 18: requests.maxBodyBytes"},
 	} {
 		text := example(t, c.file)
@@ -46,3 +55,14 @@
 		require.ErrorContains(t, err, c.want, c.name)
 	}
 }
+
+func TestSeedsOfThePlatform(t *testing.T) {
+	text := example(t, "platform.toml")
+	h, err := settings.Parse([]byte(text))
+	require.NoError(t, err)
+	require.Equal(t, "10.2.0.19:7600", h.Seeds[1].String(), "hosts meet on their own port")
+	require.Empty(t, h.FirstKeepers(), "a host that comes later forms no keeper set")
+	h, err = settings.Parse([]byte(strings.Replace(text, "bootstrap = false", "bootstrap = true", 1)))
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.1.0.28", "10.2.0.19", "10.3.0.17"}, h.FirstKeepers())
+}
