--- a/io/bearer/bearer.go
+++ b/io/bearer/bearer.go
@@ -28,18 +28,6 @@
 	return secret
 }
 
-// Require lets only requests with the secret through; without a secret it lets all through, which the settings allow on
-// loopback only.
-func Require(secret string, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if secret != "" && !Is([]byte(r.Header.Get(header)), secret) {
-			Refuse(w)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Refuse answers a request whose credentials are wrong or missing.
 func Refuse(w http.ResponseWriter) {
 	http.Error(w, "wrong or missing credentials", http.StatusUnauthorized)
--- a/io/host/peer.go
+++ b/io/host/peer.go
@@ -1,56 +1,40 @@
 package host
 
 import (
-	"context"
 	"crypto/tls"
 	"expvar"
-	"net/http"
-	"time"
+	"net"
 
 	"github.com/cockroachdb/errors"
-	"github.com/twitchtv/twirp"
 
 	"oleanderlever/core"
-	"oleanderlever/io/bearer"
 	"oleanderlever/io/control"
 	"oleanderlever/io/socket"
 )
 
-const (
-	rank          = 20
-	headerTimeout = 5 * time.Second
-)
+const rank = 20
 
 // counters are the bytes and batches exchanged with other hosts, served with the other metrics.
 var counters = expvar.NewMap("hostMessages")
 
 func init() { control.Register(control.Peer{Name: "host", Rank: rank, Open: open}) }
 
-// server takes the batches of other hosts.
-type server struct{ loop *control.Loop }
-
 func open(h *control.Host) (control.Instance, error) {
 	l, err := socket.Listen(h.Settings.Listen.Hosts)
 	if err != nil {
 		return control.Instance{}, errors.Wrap(err, "listen.hosts")
 	}
-	secret := h.Settings.Credentials.HostSecret
 	var secure *tls.Config
 	if h.Settings.TLS.IsSet() {
-		if secure, err = h.Settings.TLS.Client(); err != nil {
-			return control.Instance{}, err
-		}
-		server, err := h.Settings.TLS.Server(true)
-		if err != nil {
+		if secure, l, err = secured(h, l); err != nil {
 			return control.Instance{}, err
 		}
-		l = tls.NewListener(l, server)
 	}
+	secret := h.Settings.Credentials.HostSecret
 	t := newTransport(core.HostID(h.Settings.Host), secret, secure, h.Log)
-	handler := http.MaxBytesHandler(NewHostServer(&server{loop: h.Loop}), maxBatchBytes)
-	s := &http.Server{Handler: bearer.Require(secret, handler), ReadHeaderTimeout: headerTimeout}
+	s := &server{loop: h.Loop, secret: secret, log: h.Log, conns: map[net.Conn]bool{}}
 	return control.Instance{
-		Start: func() { go func() { _ = s.Serve(l) }() },
+		Start: func() { go s.serve(l) },
 		Do: func(a core.Action) {
 			switch a := a.(type) {
 			case core.SendMessage:
@@ -61,27 +45,21 @@
 		},
 		Close: func() {
 			t.close()
-			_ = s.Close()
 			_ = l.Close()
+			s.close()
 		},
 	}, nil
 }
 
-// Deliver posts the messages of a batch; a message that is not understood refuses the rest of its batch.
-func (s *server) Deliver(_ context.Context, b *Batch) (*Delivered, error) {
-	if err := core.CheckName("from", b.GetFrom()); err != nil {
-		return nil, twirp.InvalidArgumentError("from", err.Error())
+// secured lets only hosts with a certificate of the authority in, and shows this host's own.
+func secured(h *control.Host, l net.Listener) (*tls.Config, net.Listener, error) {
+	client, err := h.Settings.TLS.Client()
+	if err != nil {
+		return nil, nil, err
 	}
-	for _, e := range b.GetMessages() {
-		m, err := Decode(e)
-		if err != nil {
-			counters.Add("refused", 1)
-			return nil, twirp.InvalidArgumentError("messages", err.Error())
-		}
-		counters.Add("bytesIn", int64(len(e.GetBody())))
-		if !s.loop.TryPost(core.Received{From: core.HostID(b.GetFrom()), Message: m}) {
-			return nil, twirp.NewError(twirp.ResourceExhausted, "the mailbox is full")
-		}
+	server, err := h.Settings.TLS.Server(true)
+	if err != nil {
+		return nil, nil, err
 	}
-	return &Delivered{}, nil
+	return client, tls.NewListener(l, server), nil
 }
--- /dev/null
+++ b/io/host/server.go
@@ -0,0 +1,127 @@
+package host
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderlever/core"
+	"oleanderlever/io/control"
+)
+
+const (
+	// greetingTimeout bounds how long a new connection may take to say who it is.
+	greetingTimeout = 5 * time.Second
+	// acceptPause keeps a lack of descriptors from becoming a busy loop.
+	acceptPause = 50 * time.Millisecond
+)
+
+// server takes the batches of other hosts.
+type server struct {
+	loop   *control.Loop
+	secret string
+	log    zerolog.Logger
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	done  bool
+}
+
+func (s *server) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.log.Error().Err(err).Msg("accept host")
+			time.Sleep(acceptPause)
+		case s.add(conn):
+			go s.take(conn)
+		}
+	}
+}
+
+func (s *server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+	_ = conn.Close()
+}
+
+func (s *server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// take posts the messages of a connection until it ends.
+func (s *server) take(conn net.Conn) {
+	defer s.remove(conn)
+	if err := s.read(conn); !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		counters.Add("refused", 1)
+		s.log.Info().Err(err).Stringer("from", conn.RemoteAddr()).Msg("connection of a host ended")
+	}
+}
+
+func (s *server) read(conn net.Conn) error {
+	br := bufio.NewReader(conn)
+	if err := conn.SetReadDeadline(time.Now().Add(greetingTimeout)); err != nil {
+		return err
+	}
+	if err := checkGreeting(br, s.secret); err != nil {
+		return err
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	var buf []byte
+	for {
+		b, kept, err := readFrame(br, buf)
+		if err != nil {
+			return err
+		}
+		buf = kept
+		if err := s.deliver(b); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver posts the messages of a batch. One that is not understood ends the connection; one for which the mailbox has no
+// room is lost, as any message may be.
+func (s *server) deliver(b *Batch) error {
+	if err := core.CheckName("from", b.GetFrom()); err != nil {
+		return err
+	}
+	for _, e := range b.GetMessages() {
+		m, err := Decode(e)
+		if err != nil {
+			return err
+		}
+		counters.Add("bytesIn", int64(len(e.GetBody())))
+		if !s.loop.TryPost(core.Received{From: core.HostID(b.GetFrom()), Message: m}) {
+			counters.Add("noRoom", 1)
+		}
+	}
+	return nil
+}
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -1,34 +1,34 @@
 package host
 
 import (
-	"context"
 	"crypto/tls"
-	"net/http"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"oleanderlever/core"
-	"oleanderlever/io/bearer"
 	"oleanderlever/io/socket"
 )
 
 const (
 	// queueSize bounds the messages that wait for one host; the oldest is dropped, since the core sends again.
 	queueSize = 1024
-	// batchSize bounds the messages of one call.
-	batchSize = 128
-	// callTimeout bounds one call; a host that is later than this costs its connection.
-	callTimeout = 2 * time.Second
+	// batchSize bounds the messages of one batch.
+	batchSize   = 128
 	dialTimeout = time.Second
-	// maxBatchBytes bounds the body of a call.
-	maxBatchBytes = 64 << 20
-	// idleLink is how long a link without messages is kept.
-	idleLink = time.Minute
+	// writeTimeout bounds one write; a host that takes nothing for so long costs its connection.
+	writeTimeout = 2 * time.Second
+	// redialPause is the least time between two attempts to open a connection.
+	redialPause = 50 * time.Millisecond
 )
 
+// errPause tells that a connection was tried a moment ago.
+var errPause = errors.New("a connection was tried a moment ago")
+
 // transport has one link to each host that was spoken to lately.
 type transport struct {
 	self   core.HostID
@@ -46,12 +46,16 @@
 
 // link is the goroutine that sends to one address.
 type link struct {
-	t      *transport
-	addr   netip.AddrPort
-	client Host
-	http   *http.Transport
-	queue  chan core.Message
-	stop   chan struct{}
+	t     *transport
+	addr  netip.AddrPort
+	queue chan core.Message
+	stop  chan struct{}
+	// conn is nil while there is no connection; gone is closed when its other end closes it.
+	conn net.Conn
+	gone chan struct{}
+	// redial is when another connection may be opened.
+	redial time.Time
+	out    []byte
 }
 
 func newTransport(self core.HostID, secret string, secure *tls.Config, log zerolog.Logger) *transport {
@@ -98,15 +102,7 @@
 }
 
 func (t *transport) dial(addr netip.AddrPort) *link {
-	dialer := socket.Dialer(dialTimeout)
-	h := &http.Transport{TLSClientConfig: t.tls, DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleLink}
-	l := &link{t: t, addr: addr, http: h, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
-	client := &http.Client{Transport: &bearer.Transport{Base: h, Secret: t.secret}, Timeout: callTimeout}
-	scheme := "http://"
-	if t.tls != nil {
-		scheme = "https://"
-	}
-	l.client = NewHostProtobufClient(scheme+addr.String(), client)
+	l := &link{t: t, addr: addr, queue: make(chan core.Message, queueSize), stop: make(chan struct{})}
 	t.open.Go(l.run)
 	return l
 }
@@ -140,11 +136,13 @@
 }
 
 func (l *link) run() {
-	defer l.http.CloseIdleConnections()
+	defer l.hangUp()
 	for {
 		select {
 		case m := <-l.queue:
 			l.deliver(l.collect(m))
+		case <-l.gone:
+			l.hangUp()
 		case <-l.stop:
 			l.flush()
 			return
@@ -152,6 +150,42 @@
 	}
 }
 
+// hangUp closes the connection; the next batch opens another one.
+func (l *link) hangUp() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+	}
+	l.conn, l.gone = nil, nil
+}
+
+// connect opens a connection and watches for its end. Nothing is ever read from it.
+func (l *link) connect() error {
+	if l.conn != nil {
+		return nil
+	}
+	if time.Now().Before(l.redial) {
+		return errPause
+	}
+	l.redial = time.Now().Add(redialPause)
+	conn, err := socket.HostDialer(dialTimeout).Dial("tcp", l.addr.String())
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	if l.t.tls != nil {
+		secure := l.t.tls.Clone()
+		secure.ServerName = l.addr.Addr().String()
+		conn = tls.Client(conn, secure)
+	}
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	l.conn, l.gone = conn, gone
+	l.out = greet(l.t.secret)
+	return nil
+}
+
 // flush delivers what is left, such as a host's goodbye.
 func (l *link) flush() {
 	select {
@@ -180,13 +214,31 @@
 	}
 }
 
+// deliver sends a batch, or loses it: the core sends again what matters.
 func (l *link) deliver(b *Batch) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	counters.Add("batchesOut", 1)
-	if _, err := l.client.Deliver(ctx, b); err != nil {
-		counters.Add("batchesLost", 1)
-		l.http.CloseIdleConnections()
-		l.t.log.Debug().Err(err).Stringer("addr", l.addr).Int("messages", len(b.Messages)).Msg("messages lost")
+	l.out = l.out[:0]
+	err := l.connect()
+	if err == nil {
+		err = l.write(b)
+	}
+	if err == nil {
+		counters.Add("batchesOut", 1)
+		return
+	}
+	l.hangUp()
+	counters.Add("batchesLost", 1)
+	l.t.log.Debug().Err(err).Stringer("addr", l.addr).Int("messages", len(b.Messages)).Msg("messages lost")
+}
+
+func (l *link) write(b *Batch) error {
+	out, err := appendFrame(l.out, b)
+	if err != nil {
+		return err
+	}
+	l.out = out
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
 	}
+	_, err = l.conn.Write(out)
+	return err
 }
