--- a/io/host/frame.go
+++ b/io/host/frame.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"crypto/subtle"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -18,6 +21,10 @@
 	// maxBatchBytes bounds a batch.
 	maxBatchBytes = 64 << 20
 	lengthBytes   = 4
+	// compressFrom is the size in bytes from which a batch is compressed; smaller ones gain little.
+	compressFrom = 2048
+	// compressed marks the length of a compressed batch.
+	compressed = 1 << 31
 )
 
 // errStranger tells that the other end does not speak as a host does, or not with the hosts' secret.
@@ -46,17 +53,58 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode batch")
 	}
-	binary.BigEndian.PutUint32(out[at:], uint32(len(out)-at-lengthBytes))
+	body := out[at+lengthBytes:]
+	if len(body) < compressFrom {
+		binary.BigEndian.PutUint32(out[at:], uint32(len(body)))
+		return out, nil
+	}
+	small, err := compress(body)
+	if err != nil {
+		return nil, err
+	}
+	out = append(out[:at+lengthBytes], small...)
+	binary.BigEndian.PutUint32(out[at:], uint32(len(small))|compressed)
 	return out, nil
 }
 
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	return w
+}}
+
+func compress(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(body); err != nil {
+		return nil, errors.Wrap(err, "compress batch")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress batch")
+	}
+	return out.Bytes(), nil
+}
+
+func decompress(body []byte) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxBatchBytes+1))
+	if err == nil && len(out) > maxBatchBytes {
+		err = errors.Newf("a batch of more than %d bytes", maxBatchBytes)
+	}
+	return out, errors.Wrap(err, "decompress batch")
+}
+
 // readFrame reads one batch into a buffer, which it returns for the next one.
 func readFrame(br *bufio.Reader, buf []byte) (*Batch, []byte, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(br, length[:]); err != nil {
 		return nil, buf, err
 	}
-	n := int(binary.BigEndian.Uint32(length[:]))
+	word := binary.BigEndian.Uint32(length[:])
+	n := int(word &^ compressed)
 	if n > maxBatchBytes {
 		return nil, buf, errors.Newf("a batch of %d bytes; the limit is %d", n, maxBatchBytes)
 	}
@@ -66,6 +114,14 @@
 	if _, err := io.ReadFull(br, buf[:n]); err != nil {
 		return nil, buf, errors.Wrap(err, "batch")
 	}
+	body := buf[:n]
+	if word&compressed != 0 {
+		whole, err := decompress(body)
+		if err != nil {
+			return nil, buf, err
+		}
+		body = whole
+	}
 	b := &Batch{}
-	return b, buf, errors.Wrap(proto.Unmarshal(buf[:n], b), "batch")
+	return b, buf, errors.Wrap(proto.Unmarshal(body, b), "batch")
 }
--- a/io/host/frame_test.go
+++ b/io/host/frame_test.go
@@ -66,7 +66,7 @@
 		require.Equal(t, core.HostID("me"), r.From)
 		require.Equal(t, want, r.Message)
 	case <-time.After(10 * time.Second):
-		require.Fail(t, "nothing came", "%v", want)
+		require.Fail(t, "nothing came", "%T", want)
 	}
 }
 
@@ -79,6 +79,19 @@
 	}
 }
 
+// Large batches are compressed on the way and come as they were.
+func TestLargeMessagesComeWhole(t *testing.T) {
+	a, b := newStation(t), newStation(t)
+	for n := range 5 {
+		m := core.HoldingUnknown{}
+		for i := range 1000 * n {
+			m.Attempts = append(m.Attempts, core.AttemptID{Request: core.RequestID(fmt.Sprint("request-", i)), Number: 1})
+		}
+		a.peer.Do(core.SendMessage{To: "b", Addr: b.addr, Message: m})
+		b.expect(t, m)
+	}
+}
+
 // A host that was started anew is found by the next messages.
 func TestConnectionIsOpenedAgain(t *testing.T) {
 	a, b := newStation(t), newStation(t)
@@ -123,6 +136,7 @@
 		"wrong secret":     "oleanderlever/1 guess\n" + good,
 		"another protocol": "GET / HTTP/1.1\r\n\r\n" + good,
 		"too long":         hello + "\xff\xff\xff\xff" + good,
+		"no compression":   hello + "\x80\x00\x00\x03abc",
 		"no batch":         hello + "\x00\x00\x00\x03abc",
 		"unknown type":     hello + frame(&host.Batch{From: "me", Messages: []*host.Envelope{{Type: 9999}}}),
 		"unnamed":          hello + frame(&host.Batch{Messages: []*host.Envelope{e}}),
