--- a/io/telemetry/writer.go
+++ b/io/telemetry/writer.go
@@ -26,12 +26,13 @@
 	spare   []byte
 	closed  bool
 	wake    chan struct{}
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewWriter returns a Writer to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -52,12 +53,13 @@
 	return len(line), nil
 }
 
-// Close writes what waits and ends the goroutine.
+// Close writes what waits without gathering more, and ends the goroutine: whatever still wants an answer of a process that
+// ends must not wait for its log.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
-		close(w.wake)
+		close(w.closing)
 	}
 	w.mu.Unlock()
 	<-w.done
@@ -65,11 +67,23 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for range w.wake {
-		time.Sleep(gatherTime)
+	defer w.flush()
+	gather := time.NewTimer(gatherTime)
+	defer gather.Stop()
+	for {
+		select {
+		case <-w.wake:
+		case <-w.closing:
+			return
+		}
+		gather.Reset(gatherTime)
+		select {
+		case <-gather.C:
+		case <-w.closing:
+			return
+		}
 		w.flush()
 	}
-	w.flush()
 }
 
 func (w *Writer) flush() {
