core/quota: hosts serve at their part of the rate while the lender is new

Cause: after a change of leader the new owner lends nothing for a second, and a host that had no leader to ask did not count as cut off at all, so streams were refused although nobody used the rate. A grant says whether its owner lends yet, and a host without a leader counts the time.

--- a/core/message.go
+++ b/core/message.go
@@ -203,6 +203,8 @@
 	Ask   uint64      `cbor:"ask"`
 	Epoch Epoch       `cbor:"epoch"`
 	Lines []QuotaLent `cbor:"lines"`
+	// Closed owners are new and lend nothing until what an earlier one lent has run out.
+	Closed bool `cbor:"closed,omitempty"`
 }
 
 // QuotaLent is one account's part of a QuotaGrant.
--- a/core/quota/advance_test.go
+++ b/core/quota/advance_test.go
@@ -74,3 +74,25 @@
 	f.want(f.Hosts[5], 20)
 	require.Len(t, f.charges, had)
 }
+
+// While a new owner lends nothing yet, hosts serve on at their part of the rate.
+func TestHostsServeWhileTheOwnerIsNew(t *testing.T) {
+	for seed := range uint64(5) {
+		f := spending(seed)
+		f.RunFor(2 * time.Second)
+		had := len(f.charges)
+		f.crashLeader()
+		for range 60 {
+			f.want(f.Hosts[3+f.Rand.IntN(6)], 20)
+			f.RunFor(25 * time.Millisecond)
+		}
+		var spent core.Tokens
+		for _, c := range f.charges[had:] {
+			spent += c.cost
+		}
+		require.Greater(t, spent, core.Tokens(700), "seed %d", seed)
+		excess, at := f.worstExcess(1)
+		// A part of the rate for the time without an owner comes on top of the advance.
+		require.LessOrEqual(t, excess, float64(advance)+staleShare*float64(rate)*4, "seed %d at %v", seed, at)
+	}
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -136,7 +136,10 @@
 
 // askFor asks for one account at once.
 func (h *holder) askFor(t *core.Turn, id core.AccountID, a *account) {
-	if line, ok := a.line(t.Now, id, h.epoch); ok && h.leader != "" {
+	if h.noLeader(t) {
+		return
+	}
+	if line, ok := a.line(t.Now, id, h.epoch); ok {
 		h.send(t, core.QuotaAsk{Boot: h.boot, Epoch: h.epoch, Lines: []core.QuotaLine{line}})
 	}
 }
@@ -212,11 +215,19 @@
 		}
 		h.next = t.Now.Add(askEvery)
 	}
-	if len(ask.Lines) > 0 && h.leader != "" {
+	if len(ask.Lines) > 0 && !h.noLeader(t) {
 		h.send(t, ask)
 	}
 }
 
+// noLeader reports whether there is nobody to ask, which counts as an ask without an answer.
+func (h *holder) noLeader(t *core.Turn) bool {
+	if h.leader == "" && h.waits.IsZero() {
+		h.waits = t.Now
+	}
+	return h.leader == ""
+}
+
 func (h *holder) send(t *core.Turn, ask core.QuotaAsk) {
 	h.ask++
 	ask.Ask = h.ask
@@ -298,7 +309,9 @@
 		return
 	}
 	delete(h.asks, m.Ask)
-	h.waits = time.Time{}
+	if !m.Closed {
+		h.waits = time.Time{}
+	}
 	if m.Epoch != h.epoch {
 		h.newEpoch(m.Epoch)
 	}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -103,7 +103,7 @@
 }
 
 func (o *owner) grant(t *core.Turn, a ownerAsk) {
-	g := core.QuotaGrant{Ask: a.ask.Ask, Epoch: o.epoch}
+	g := core.QuotaGrant{Ask: a.ask.Ask, Epoch: o.epoch, Closed: t.Now.Before(o.opens)}
 	for _, l := range a.ask.Lines {
 		account, ok := o.tables.Account(l.Account)
 		if !ok {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -90,9 +90,9 @@
 	retryMargin = 0.6
 	// advancePart is the part of the quota's slack that hosts spend before they are lent. The rest is for what a new lender
 	// can't know of the one before.
-	advancePart = 4
+	advancePart = 2
 	// staleShare is the part of the rates that hosts spend while the lender is silent to them; it may not be silent to others.
-	staleShare = 0.6
+	staleShare = 0.5
 )
 
 var placements = map[settings.Placement]core.Placement{
