core/entry: an upstream that leaves is not taken from a dispatcher that does not know

Ruled out: the registry, which told every host it reached within a few ms. A host now checks a dispatcher's choice against what it has heard itself, gives the place back and places by its own ledger.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -148,7 +148,12 @@
 	p.moveOut(a)
 	pl := p.pool(t, a.Pool)
 	if pl.upstreams[a.ID] != nil || len(pl.upstreams) < p.limits.Upstreams {
+		had := pl.upstreams[a.ID]
+		wasLeaving := had != nil && had.Leaving
 		pl.announce(*a, heard)
+		if now := pl.upstreams[a.ID].Leaving; now != wasLeaving {
+			t.Post(core.UpstreamLeaving{ID: a.ID, Leaving: now})
+		}
 		if p.local {
 			pl.upstreams[a.ID].turn = max(pl.upstreams[a.ID].turn, p.rand.Uint64N(maxTurn))
 		}
--- a/core/dispatch/listed.go
+++ b/core/dispatch/listed.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		u.Leaving = true
+		t.Post(core.UpstreamLeaving{ID: g.ID, Leaving: true})
 		pl.refresh(u, t.Now, p.tables.Policy(id))
 		t.Decide(core.Decision{Part: "dispatch", Choice: "left", Reason: "the upstream took its leave", Pool: id, Target: string(g.ID)})
 	}
--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -51,6 +51,29 @@
 	p.sendAsk(t, r)
 }
 
+// maxLeaving bounds the upstreams that are remembered as leaving; more than there can be at once only costs a refusal.
+const maxLeaving = 4096
+
+func (p *part) upstreamLeaving(e core.UpstreamLeaving) {
+	if !e.Leaving {
+		delete(p.leaving, e.ID)
+		return
+	}
+	if len(p.leaving) >= maxLeaving {
+		clear(p.leaving)
+	}
+	p.leaving[e.ID] = true
+}
+
+// goRound gives back a place at an upstream that leaves, and places the request by the own ledger.
+func (p *part) goRound(t *core.Turn, r *request, from core.HostID, m core.Placed) {
+	t.Decide(core.Decision{Part: "entry", Choice: "goRound", Reason: "the dispatcher does not know that the upstream leaves", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill + ">" + m.Decode)})
+	t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: m.Pool})
+	p.deaf = t.Now.Add(deafFor)
+	r.solo = true
+	p.sendAsk(t, r)
+}
+
 // asked notes that the dispatcher has queued an attempt, so that it is asked again only later.
 func (p *part) asked(r *request, a core.AttemptID, now time.Time) {
 	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -33,6 +33,8 @@
 	draining bool
 	drained  bool
 	lameDuck bool
+	// leaving are the upstreams that have said so, which a dispatcher that was cut off may not know.
+	leaving map[core.UpstreamID]bool
 	// streamsUntil is until when a host that will shut down takes streams.
 	streamsUntil time.Time
 	// upstreams is true while there is one to send work to.
@@ -57,7 +59,7 @@
 	p := &part{
 		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty, rand: env.Rand,
 		owners: dispatch.OwnersFor(env), retries: env.Retries,
-		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, listed: map[core.PoolID]int{},
+		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, leaving: map[core.UpstreamID]bool{}, listed: map[core.PoolID]int{},
 	}
 	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
@@ -98,6 +100,8 @@
 		p.members = e.Members
 		p.countHosts()
 		p.ownersChanged(t)
+	case core.UpstreamLeaving:
+		p.upstreamLeaving(e)
 	case core.UpstreamsUsable:
 		p.upstreams = e.Count > 0
 		p.publish(t)
@@ -224,6 +228,10 @@
 		}
 		return
 	}
+	if from != p.owners.Self().Host && (p.leaving[m.Decode] || p.leaving[m.Prefill]) {
+		p.goRound(t, r, from, m)
+		return
+	}
 	r.placed = m
 	r.owner.host = from
 	p.wakes.Remove(r)
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -270,6 +270,31 @@
 	require.Len(t, done[core.RunDecode](d), 1)
 }
 
+// A dispatcher that is cut off from the keepers may choose an upstream that has said that it leaves; the host that heard of
+// it does not follow.
+func TestLeavingUpstreamIsNotTakenFromADispatcher(t *testing.T) {
+	for n := range 20 {
+		other := core.HostID(fmt.Sprint("o", n))
+		d := newDesk(t, budget, other)
+		d.ask("r", "/verse/1")
+		if len(done[core.RunDecode](d)) > 0 {
+			continue
+		}
+		leaving := core.Announcement{ID: "e2", Pool: "verse", Role: core.RoleDecode, Slots: 8, Sized: true, Incarnation: 1, Seq: 2, Leaving: true}
+		leaving.Addr = netip.MustParseAddrPort("10.0.1.3:80")
+		d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: leaving}}}})
+		a := core.AttemptID{Request: "r", Number: 1}
+		d.step(core.Received{From: other, Message: core.Placed{Attempt: a, Pool: "verse", Decode: "e2"}})
+		runs := done[core.RunDecode](d)
+		require.Len(t, runs, 1)
+		require.Equal(t, core.UpstreamID("e1"), runs[0].Instance)
+		sent := done[core.SendMessage](d)
+		require.Equal(t, core.SendMessage{To: other, Message: core.PlaceDone{Attempt: a, Pool: "verse"}}, sent[len(sent)-1])
+		return
+	}
+	require.Fail(t, "no other host won the pool")
+}
+
 func TestLameDuckTakesWhatCanStillEnd(t *testing.T) {
 	d := newDesk(t, budget)
 	d.step(core.LameDuck{StreamsUntil: d.now.Add(2 * time.Second)})
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -112,6 +112,12 @@
 	Incarnation uint64     `cbor:"incarnation"`
 }
 
+// UpstreamLeaving tells the parts of a host that an upstream has begun to leave, or was started anew under its name.
+type UpstreamLeaving struct {
+	ID      UpstreamID
+	Leaving bool
+}
+
 // UpstreamsUsable tells how many upstreams this host may send work to, when that becomes none or some.
 type UpstreamsUsable struct{ Count int }
 
