--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -110,18 +110,24 @@
 // patience is how long an attempt may wait for its place: a refusal after the target would have been better given at once.
 func (r *request) patience(now time.Time) time.Duration {
 	left := max(0, r.Deadline.Sub(now))
-	switch {
-	case r.route.Target > 0 && r.route.Stream:
-		return min(left, streamPatience*r.route.Target)
-	case r.route.Target > 0:
-		return min(left, r.route.Target)
+	if r.route.Target == 0 {
+		return left
+	}
+	patience := r.route.Target
+	if r.route.Stream {
+		patience = time.Duration(streamPatience * float64(patience))
+	}
+	since := r.arrived
+	if r.relayed > 0 {
+		// The caller has a part of the answer, and waits for its next event from now on.
+		since = now
 	}
-	return left
+	return min(left, max(0, since.Add(patience).Sub(now)))
 }
 
-// streamPatience times the target, a stream waits for its place: a late one is worth less, but more than none, and callers
-// give a silent one up after four times the target.
-const streamPatience = 3
+// streamPatience times the target after its arrival, a stream may still wait for its place: a late one is worth less, but
+// more than none, and callers give a silent one up after four times the target.
+const streamPatience = 3.4
 
 // quotaPatience is how long the request may wait for tokens, or zero for the default. A stream leaves half of its target
 // to the engines; a call that gets none within its target is better refused while its caller can still come back.
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// A stream waits for its place no longer than its caller does, counted from its arrival.
+func TestPatienceCountsFromTheArrival(t *testing.T) {
+	d := newDesk(t, budget)
+	for _, id := range []core.UpstreamID{"e1", "e2"} {
+		d.step(core.Received{From: "k", Message: core.UpstreamList{Gone: []core.UpstreamGone{{ID: id}}}})
+	}
+	d.ask("r", "/verse/1")
+	for range 2 {
+		// Whatever holds the request up on its way gives it no more time.
+		d.pass(time.Second)
+		d.step(core.MembersChanged{Members: []core.Member{{Host: "h", Boot: 1, State: core.MemberAlive, Entry: true}}})
+	}
+	require.Nil(t, d.refusal("r"))
+	d.pass(1500 * time.Millisecond)
+	require.NotNil(t, d.refusal("r"), "callers leave after 3.6 s")
+	require.True(t, d.refusal("r").NotRun)
+}
+
 // The retries of all hosts together stay within the shared burst and the share of what was answered.
 func TestRetryBudgetIsShared(t *testing.T) {
 	rule := core.RetryBudget{Share: 0.1, Burst: 12, Shared: true}
