core/dispatch: prompts are read near the engine that decodes them

A prompt's KV cache of 0.5 GB takes twice as long between data centres and costs up to three times as much; the choice of the prefill engine ignored where its decode engine is.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -224,7 +224,7 @@
 		p.reserve(h, now)
 		return h, answer, verdictPlaced
 	}
-	prefill := p.choosePrefilling(w)
+	prefill := p.choosePrefilling(w, answer.best.DataCentre)
 	if prefill.best == nil || prefill.best.busy.Sub(now) > maxBacklog {
 		return nil, prefill, verdictFull
 	}
@@ -269,16 +269,28 @@
 	return c, verdictFull
 }
 
+// farMove is what moving a prompt's KV cache to another data centre counts for, in tokens of prompt: it takes twice as long
+// and costs up to three times as much as a move within one.
+const farMove core.Tokens = 400
+
+// detour is what the way from a prefill engine to a data centre counts for, in tokens of prompt.
+func (p *pool) detour(u *upstream, to core.DataCentre) core.Tokens {
+	if p.engine == nil || u.DataCentre == to {
+		return 0
+	}
+	return farMove
+}
+
 // choosePrefilling picks the engine with the least to compute before and for this prompt: among the shortest queues,
 // and among the engines that lately got a prompt with the same first block.
-func (p *pool) choosePrefilling(w *waiting) choice {
+func (p *pool) choosePrefilling(w *waiting, near core.DataCentre) choice {
 	var c, avoided choice
 	seen := func(u *upstream) bool {
 		into := &c
 		if slices.Contains(w.ask.Avoid, u.ID) {
 			into = &avoided
 		}
-		into.add(u, float64(u.prefill+w.ask.Prompt-u.cached(w.ask.Blocks)))
+		into.add(u, float64(u.prefill+w.ask.Prompt-u.cached(w.ask.Blocks)+p.detour(u, near)))
 		return !c.full()
 	}
 	p.prefilling.Ascend(seen)
