--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -253,7 +253,7 @@
 			if slices.Contains(w.ask.Avoid, u.ID) {
 				into = &avoided
 			}
-			into.add(u, u.fill)
+			into.add(u, u.fill+far(u, w.ask.DataCentre))
 		}
 		return !c.full()
 	})
@@ -269,6 +269,17 @@
 	return c, verdictFull
 }
 
+// farAnswer is what an upstream in another data centre than its entry host counts for, in parts of its places: less than
+// one of the few places of a plain service.
+const farAnswer = 0.12
+
+func far(u *upstream, from core.DataCentre) float64 {
+	if from == "" || u.DataCentre == from {
+		return 0
+	}
+	return farAnswer
+}
+
 // farMove is what moving a prompt's KV cache to another data centre counts for, in tokens of prompt: it takes twice as long
 // and costs up to three times as much as a move within one.
 const farMove core.Tokens = 400
--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -9,6 +9,9 @@
 // askPlace starts the next attempt.
 func (p *part) askPlace(t *core.Turn, r *request) {
 	r.newAttempt(t.Now, p.boot)
+	if p.owners.FallBack() {
+		r.ask.DataCentre = p.place
+	}
 	r.stage = stagePlace
 	r.solo = p.owners.FallBack() && t.Now.Before(p.deaf)
 	if !p.places(r) {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -17,6 +17,7 @@
 	boot uint64
 	// deaf is until when no dispatcher is asked, since one did not answer.
 	deaf   time.Time
+	place  core.DataCentre
 	limit  int
 	rand   *rand.Rand
 	owners dispatch.Owners
@@ -58,7 +59,7 @@
 	empty.Index()
 	p := &part{
 		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty, rand: env.Rand,
-		owners: dispatch.OwnersFor(env), retries: env.Retries,
+		place: env.DataCentre, owners: dispatch.OwnersFor(env), retries: env.Retries,
 		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, leaving: map[core.UpstreamID]bool{}, listed: map[core.PoolID]int{},
 	}
 	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
--- a/core/message.go
+++ b/core/message.go
@@ -230,6 +230,8 @@
 	Blocks  []uint64  `cbor:"blocks"`
 	// Service attempts need one place and no engine memory.
 	Service bool `cbor:"service"`
+	// DataCentre is where the entry host is, if the answer should rather come from there.
+	DataCentre DataCentre `cbor:"dataCentre,omitempty"`
 	// Avoid lists the upstreams at which earlier attempts failed.
 	Avoid []UpstreamID `cbor:"avoid"`
 	// Left is how long the caller still waits, Waited how long it has waited already.
