--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -90,18 +90,23 @@
 		pl.sinceLate = 0
 		pl.lateRuns = h.ask.Attempt
 	}
-	t.Decide(decision(h, c, t.Now.Sub(next.queued)))
+	t.Decide(pl.decision(h, c, t.Now, next.queued))
 	t.Send(next.from, h.placed)
 	return true
 }
 
-func decision(h *held, c choice, waited time.Duration) core.Decision {
+func (p *pool) decision(h *held, c choice, now, queued time.Time) core.Decision {
+	waited := now.Sub(queued)
 	target := string(h.placed.Decode)
 	if h.placed.Prefill != "" {
 		target = string(h.placed.Prefill) + ">" + target
 	}
+	age := time.Duration(0)
+	if u := p.upstreams[h.placed.Decode]; u != nil {
+		age = now.Sub(u.heard)
+	}
 	return core.Decision{
-		Part: "dispatch", Choice: "place", Reason: "lowest score after " + waited.Round(time.Microsecond).String() + " in the queue",
+		Part: "dispatch", Choice: "place", Age: age, Reason: "lowest score after " + waited.Round(time.Microsecond).String() + " in the queue",
 		Request: h.ask.Attempt.Request, Attempt: h.ask.Attempt.Number, Account: h.ask.Account, Pool: h.ask.Pool,
 		Target: target, Score: c.score, Others: c.others,
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -156,7 +156,7 @@
 		f = core.Fail(core.KindBadRequest, "a request with this ID is under way")
 	}
 	if f != nil {
-		t.Decide(core.Decision{Part: "entry", Choice: "refuse", Reason: f.Kind.String(), Request: r.ID, Account: a.account.ID, Pool: a.pool})
+		t.Decide(core.Decision{Part: "entry", Choice: "refuse", Reason: f.Kind.String(), Request: r.ID, Account: a.account.ID, Pool: a.pool, Version: p.tables.Version})
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
 		return
 	}
@@ -164,7 +164,7 @@
 	rq.once = onceKey(&a, &r)
 	t.Decide(core.Decision{
 		Part: "entry", Choice: "admit", Reason: "inside the configuration", Request: r.ID, Account: a.account.ID,
-		Pool: a.pool, Prompt: r.Prompt, Max: a.output,
+		Pool: a.pool, Prompt: r.Prompt, Max: a.output, Version: p.tables.Version,
 	})
 	p.requests[r.ID] = rq
 	p.arm(rq)
@@ -339,6 +339,7 @@
 		return
 	}
 	r.ran = true
+	r.status = e.Answer.Status
 	if e.Answer.Status >= failedStatus && r.repeatable() && p.retry(t, r, failedAnswer(&e.Answer), r.placed.Decode) {
 		return
 	}
@@ -379,7 +380,7 @@
 	p.budget(r.pool).earn(p.retries, p.hosts)
 	t.Decide(core.Decision{
 		Part: "entry", Choice: "finish", Reason: "answered in full", Request: r.ID, Attempt: r.ask.Attempt.Number,
-		Account: r.account.ID, Pool: r.pool, Output: r.relayed,
+		Account: r.account.ID, Pool: r.pool, Output: r.relayed, Status: r.status, Target: string(r.placed.Decode),
 	})
 	t.Do(core.Finish{Request: r.ID})
 	p.end(t, r)
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -67,6 +67,8 @@
 	// wake is when the request wants a look, wakeAt its place in the order of those times.
 	wake   time.Time
 	wakeAt int
+	// status is the upstream's, where the answer has one.
+	status int
 	// ran is true once a byte of an attempt may have reached an upstream.
 	ran bool
 }
--- a/core/request.go
+++ b/core/request.go
@@ -182,6 +182,10 @@
 	Prompt Tokens `json:"prompt,omitempty"`
 	Max    Tokens `json:"max,omitempty"`
 	Output Tokens `json:"output,omitempty"`
+	// Version is the configuration's that decided, Age how old the word on the target was, Status the upstream's answer.
+	Version Version       `json:"version,omitempty"`
+	Age     time.Duration `json:"age,omitempty"`
+	Status  int           `json:"status,omitempty"`
 	// Others are the runners-up, best first.
 	Others []Candidate `json:"others,omitempty"`
 }
--- a/io/telemetry/peer.go
+++ b/io/telemetry/peer.go
@@ -81,6 +81,15 @@
 	if d.Prompt > 0 || d.Output > 0 {
 		e = e.Int64("prompt", int64(d.Prompt)).Int64("max", int64(d.Max)).Int64("output", int64(d.Output))
 	}
+	if d.Version > 0 {
+		e = e.Uint64("version", uint64(d.Version))
+	}
+	if d.Age > 0 {
+		e = e.Dur("ageMs", d.Age)
+	}
+	if d.Status > 0 {
+		e = e.Int("status", d.Status)
+	}
 	if len(d.Others) > 0 {
 		e = e.Array("others", candidates(d.Others))
 	}
