--- a/core/replica/join_test.go
+++ b/core/replica/join_test.go
@@ -110,3 +110,23 @@
 		return false
 	}))
 }
+
+// Keepers that were all started anew have a leader soon, although their first messages to each other are lost.
+func TestLeaderSoonAfterARestartOfAll(t *testing.T) {
+	for seed := range uint64(20) {
+		c := joining(t, seed, 3, 3)
+		require.True(t, c.Until(10*time.Second, func() bool { return len(c.voterHosts()) == 3 }))
+		for _, h := range c.Hosts {
+			c.Crash(h)
+		}
+		c.RunFor(time.Second)
+		for _, h := range c.Hosts {
+			c.Boot(h)
+		}
+		up := c.Now
+		c.Cut = func(_, _ core.HostID) bool { return c.Now.Sub(up) < 320*time.Millisecond }
+		leaders := len(c.leaders)
+		require.True(t, c.Until(800*time.Millisecond, func() bool { return len(c.leaders) > leaders }), "seed %d", seed)
+		require.Empty(t, c.faults)
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// firstElection bounds the wait for a leader right after a start. Where one works, its heartbeats come within that time,
-	// and the others refuse a promise anyway; where all keepers were started anew, waiting longer only costs time.
+	// firstElection is the wait for a leader until this start of the keeper has met one. Where one works, its heartbeats come
+	// within that time, and the others refuse a promise anyway; where all keepers were started anew, their first messages to
+	// each other may be lost, and waiting longer only costs time.
 	firstElection = 200 * time.Millisecond
 	// snapshotEvery is how many entries are applied between two snapshots.
 	snapshotEvery = 4096
@@ -84,13 +85,15 @@
 	rand   *rand.Rand
 	safe   Safety
 
-	role     role
-	hard     core.HardState
-	log      entryLog
-	commit   core.Index
-	applied  core.Index
-	leader   core.HostID
-	ready    bool
+	role    role
+	hard    core.HardState
+	log     entryLog
+	commit  core.Index
+	applied core.Index
+	leader  core.HostID
+	ready   bool
+	// met is true once this start of the keeper has known a leader.
+	met      bool
 	noop     core.Index
 	seq      uint64
 	synced   uint64
@@ -248,8 +251,11 @@
 }
 
 func (p *part) resetElection(t *core.Turn) {
-	span := MaxElection - MinElection
-	p.election = t.Now.Add(MinElection + time.Duration(p.rand.Int64N(int64(span))))
+	least, most := MinElection, MaxElection
+	if !p.met {
+		least, most = firstElection, 2*firstElection
+	}
+	p.election = t.Now.Add(least + time.Duration(p.rand.Int64N(int64(most-least))))
 }
 
 // persist makes the hard state and the given entries durable and returns the sequence number to wait for.
@@ -335,6 +341,7 @@
 		t.Decide(core.Decision{Part: "replica", Choice: "leader", Reason: fmt.Sprintf("epoch %d, commit %d", p.hard.Epoch, p.commit), Target: string(leader)})
 	}
 	p.leader, p.ready = leader, false
+	p.met = p.met || leader != ""
 	t.Post(core.LeaderChanged{Leader: leader, Epoch: p.hard.Epoch})
 }
 
