core/replica: the log is cut by its size too

A keeper's log was cut after 4,096 entries only; with documents of 100 KB that is three times the smallest disk of 128 MB. From 8 MiB of documents on it is cut now. The test failed before.

--- a/core/config/document_test.go
+++ b/core/config/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -187,3 +188,20 @@
 	_, ok := o.readBack().Account("x")
 	require.True(t, ok)
 }
+
+// Large documents do not fill the keepers' disks: the log is cut by its size as well as by its entries.
+func TestLargeDocumentsAreCutFromTheLog(t *testing.T) {
+	o := newOffice(t, harness.Config{Seed: 3, Hosts: 3, Keepers: 3, MinDelay: time.Millisecond, MaxDelay: 2 * time.Millisecond, SyncTime: time.Millisecond})
+	text := strings.Repeat("x", 1<<20)
+	for n := range core.Revision(40) {
+		require.True(t, o.send(o.Hosts[n%3], document(n+1, fmt.Sprint(text, n))))
+	}
+	for _, h := range o.Hosts {
+		require.Less(t, len(h.Stored.Entries), 20, h.ID)
+	}
+	require.Equal(t, core.Revision(40), o.readBack().Revision)
+	o.Crash(o.Hosts[1])
+	o.Boot(o.Hosts[1])
+	o.RunFor(3 * time.Second)
+	require.Equal(t, core.Revision(40), o.had[o.Hosts[1].ID])
+}
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -95,3 +95,14 @@
 	}
 	return l.keepers
 }
+
+// size returns the bytes of the documents in the log, which are all of it that may be large.
+func (l *entryLog) size() int {
+	n := 0
+	for i := range l.entries {
+		if d := l.entries[i].Command.Change.Document; d != nil {
+			n += len(d.Source)
+		}
+	}
+	return n
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -23,6 +23,8 @@
 	firstElection = 200 * time.Millisecond
 	// snapshotEvery is how many entries are applied between two snapshots.
 	snapshotEvery = 4096
+	// snapshotBytes is how many bytes of documents gather in the log before it is cut: a small part of the smallest disk.
+	snapshotBytes = 8 << 20
 	// appendBytes bounds the entries of one message.
 	appendBytes = 1 << 20
 	rank        = 10
@@ -321,7 +323,7 @@
 		p.ready = true
 		t.Post(core.LeaderChanged{Leader: p.self, Epoch: p.hard.Epoch, Self: true})
 	}
-	if p.applied-p.log.base >= snapshotEvery {
+	if p.applied-p.log.base >= snapshotEvery || p.log.size() >= snapshotBytes {
 		t.Post(takeSnapshot{index: p.applied})
 	}
 }
