--- a/core/request.go
+++ b/core/request.go
@@ -122,7 +122,7 @@
 	// Account is whose request it is, empty on an open route.
 	Account AccountID
 	Timeout time.Duration
-	// Fresh calls use a new connection, since an old one may have gone silent.
+	// Fresh calls use a new connection, since an old one may be closing, unless the traffic side can tell that it is not.
 	Fresh bool
 }
 
