core: entry hosts are counted in one place

Two parts counted the members that serve callers in their own words; core.EntryHosts does. No behaviour changes; go test ./core/entry ./core/quota passes.

--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -112,15 +112,3 @@
 	f.NotRun = !r.ran
 	p.refuse(t, r, &f)
 }
-
-// countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take
-// their parts of the retry budget.
-func (p *part) countHosts() {
-	n := 0
-	for i := range p.members {
-		if p.members[i].Entry {
-			n++
-		}
-	}
-	p.hosts = max(p.hosts, n)
-}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -99,7 +99,8 @@
 		p.publish(t)
 	case core.MembersChanged:
 		p.members = e.Members
-		p.countHosts()
+		// A host that loses sight of the others must not take their parts of the retry budget.
+		p.hosts = max(p.hosts, core.EntryHosts(e.Members))
 		p.ownersChanged(t)
 	case core.UpstreamLeaving:
 		p.upstreamLeaving(e)
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -60,8 +60,8 @@
 	return b
 }
 
-// callerGone frees what the request holds. A call at a plain service can't be taken back and runs to its end, so that
-// its outcome can be recorded.
+// callerGone frees what the request holds. A call that may not be repeated runs to its end, so that its outcome can be
+// recorded; one that may, on a route whose timeout bounds it as a whole, is broken off.
 func (p *part) callerGone(t *core.Turn, id core.RequestID) {
 	r := p.requests[id]
 	if r == nil || r.gone {
--- a/core/quota/advance.go
+++ b/core/quota/advance.go
@@ -13,13 +13,7 @@
 // countHosts keeps the most entry hosts that were known at once: a host that loses sight of the others must not take their
 // parts of what may be spent without a loan.
 func (h *holder) countHosts(members []core.Member) {
-	n := 0
-	for i := range members {
-		if members[i].Entry {
-			n++
-		}
-	}
-	h.hosts = max(h.hosts, n)
+	h.hosts = max(h.hosts, core.EntryHosts(members))
 }
 
 // advance spends tokens that are yet to be lent, so that a small request need not wait for the owner.
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -163,6 +163,17 @@
 	Entry bool `cbor:"entry" json:"entry"`
 }
 
+// EntryHosts counts the members that serve callers.
+func EntryHosts(members []Member) int {
+	n := 0
+	for i := range members {
+		if members[i].Entry {
+			n++
+		}
+	}
+	return n
+}
+
 // MemberState is what hosts believe of a host.
 type MemberState uint8
 
