logs: lost and regained hosts and lenders, a line each time

The users ask for a line at each lost or regained dependency: the link to a host and the lender of tokens had none (a debug line per batch, nothing).

--- a/core/quota/advance.go
+++ b/core/quota/advance.go
@@ -44,6 +44,7 @@
 // cut off serves on. The owner hears nothing of it: the allowance for all hosts bounds the sum.
 func (h *holder) payWhileSilent(t *core.Turn, id core.AccountID, a *account) {
 	silent := h.policy.StaleShare > 0 && !h.waits.IsZero() && t.Now.Sub(h.waits) >= silentAfter
+	h.note(t, silent)
 	since := a.paid
 	a.paid = t.Now
 	limit, ok := h.tables.Account(id)
@@ -59,3 +60,16 @@
 		a.waiters[i].hurry(t.Now)
 	}
 }
+
+// note logs when the owner falls silent and when it is heard again.
+func (h *holder) note(t *core.Turn, silent bool) {
+	if silent == h.silent {
+		return
+	}
+	h.silent = silent
+	d := core.Decision{Part: "quota", Choice: "lenderHeard", Reason: "loans are answered again", Target: string(h.leader)}
+	if silent {
+		d.Choice, d.Reason, d.Age = "lenderSilent", "no loan since an ask; this host spends its part of the rates", t.Now.Sub(h.waits)
+	}
+	t.Decide(d)
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -82,6 +82,8 @@
 	policy core.QuotaPolicy
 	// hosts is the most entry hosts that were known at once, which share what may be spent without a loan.
 	hosts int
+	// silent is true while the owner does not answer, or lends nothing yet.
+	silent bool
 	// waits is since when an ask has had no answer.
 	waits time.Time
 }
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -55,7 +55,9 @@
 	gone chan struct{}
 	// redial is when another connection may be opened.
 	redial time.Time
-	out    []byte
+	// lost is true from the first failure on, until a batch is delivered again.
+	lost bool
+	out  []byte
 }
 
 func newTransport(self core.HostID, secret string, secure *tls.Config, log zerolog.Logger) *transport {
@@ -223,11 +225,25 @@
 	}
 	if err == nil {
 		counters.Add("batchesOut", 1)
+		l.note(false, nil)
 		return
 	}
 	l.hangUp()
 	counters.Add("batchesLost", 1)
-	l.t.log.Debug().Err(err).Stringer("addr", l.addr).Int("messages", len(b.Messages)).Msg("messages lost")
+	l.note(true, err)
+}
+
+// note logs when the host at the other end is lost and when it is reached again.
+func (l *link) note(lost bool, err error) {
+	if lost == l.lost {
+		return
+	}
+	l.lost = lost
+	if lost {
+		l.t.log.Warn().Err(err).Stringer("addr", l.addr).Msg("host lost")
+		return
+	}
+	l.t.log.Info().Stringer("addr", l.addr).Msg("host reached again")
 }
 
 func (l *link) write(b *Batch) error {
