core/entry: a finished stream is charged

Cause: a request is refunded where nothing ran, and the streams of a route counted as run only when they failed: every finished one gave its tokens back, so only what was under way counted against the rate. The small sites did not show it because their engines are full before the limits are reached. Ruled out: advances (their sum is 70,000) and the lender.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -308,6 +308,7 @@
 	}
 	r.relayed = e.Relayed
 	if e.Failure == nil {
+		r.ran = true
 		p.sendDone(t, r, core.PlaceDone{First: r.first})
 		p.finish(t, r)
 		return
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -186,6 +186,56 @@
 	}
 }
 
+// What a request took from its account's bucket is given back only if it did not run.
+func TestOnlyWhatDidNotRunIsGivenBack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prefill bool
+		end     core.DecodeEnded
+		back    core.Tokens
+	}{
+		{"stream answered", false, core.DecodeEnded{Relayed: 40}, 0},
+		{"stream answered after a prefill", true, core.DecodeEnded{Relayed: 40}, 0},
+		{"stream broken", false, core.DecodeEnded{Relayed: 3, Failure: cut, Broken: true}, 0},
+		{"stream refused unread", false, core.DecodeEnded{Failure: unread}, 1500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var back core.Tokens
+			watch := core.Plugin{Name: "watch", Rank: 99, New: func(core.Env) core.Part {
+				return core.Part{Handle: func(t *core.Turn, ev core.Event) {
+					switch e := ev.(type) {
+					case core.QuotaWanted:
+						t.Post(core.QuotaTaken{Request: e.Request})
+					case core.QuotaBack:
+						back += e.Amount
+					}
+				}}
+			}}
+			d := newDesk(t, budget)
+			tables := routed()
+			tables.Accounts = []core.Account{{ID: "a", Weight: 1, Rate: 1e6, Burst: 1e6}}
+			env := core.Env{Self: "h", Boot: 1, Limits: core.DefaultLimits(), Rand: rand.New(rand.NewPCG(1, 1)), Placement: core.PlacementMixed, Entry: true}
+			d.k = core.New(env, dispatch.Plugin(), entry.Plugin(false), watch)
+			d.step(core.TablesChanged{Tables: tables})
+			d.step(core.LeaseChanged{Until: d.now.Add(time.Hour)})
+			d.step(core.MembersChanged{Members: []core.Member{{Host: "h", Boot: 1, State: core.MemberAlive, Entry: true}}})
+			d.hear()
+			if c.prefill {
+				p := core.Announcement{ID: "p1", Pool: "verse", Role: core.RolePrefill, Slots: 8, Sized: true, Incarnation: 1, Seq: 1, Addr: netip.MustParseAddrPort("10.0.1.9:80")}
+				d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: p}}}})
+			}
+			d.ask("r", "/once/1")
+			c.end.Attempt = core.AttemptID{Request: "r", Number: 1}
+			if c.prefill {
+				require.Len(t, done[core.RunPrefill](d), 1)
+				d.step(core.PrefillEnded{Attempt: c.end.Attempt, Prompt: 1000})
+			}
+			d.step(c.end)
+			require.Equal(t, c.back, back)
+		})
+	}
+}
+
 // A route's timeout counts from the arrival, over all attempts, and ends whatever runs.
 func TestWholeRoutesEndAtTheirTimeout(t *testing.T) {
 	for path, timeout := range map[string]time.Duration{"/order/1": 800 * time.Millisecond, "/verse/1": 10 * time.Second} {
