core/lease, io/host: a configuration to all hosts takes less memory

A new configuration goes to 80 hosts at once, each with the operator's text that only the leader gives back, each deflated by a writer of a megabyte. What else takes the memory there is open.

--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -36,6 +36,8 @@
 	hosts   int
 	tables  *core.Tables
 	changes []core.Change
+	// lent are the tables as hosts get them: nobody but the leader gives an operator's text back.
+	lent    *core.Tables
 	pending core.Pending[waiting]
 	holders map[core.HostID]held
 }
@@ -52,8 +54,8 @@
 	case 0:
 		g.changes = nil
 	case core.ChangeReplace:
-		// Only the last document matters, so a host that missed more than one is better off with the tables.
-		g.changes = []core.Change{e.Change}
+		// Only the last document matters, and its tables are smaller than the document with its text.
+		g.changes = nil
 	default:
 		g.changes = append(g.changes, e.Change)
 	}
@@ -61,6 +63,9 @@
 		g.changes = slices.Delete(g.changes, 0, len(g.changes)-keepChanges)
 	}
 	g.tables = e.Tables
+	lent := *e.Tables
+	lent.Source = nil
+	g.lent = &lent
 	if !g.leading {
 		return
 	}
@@ -97,7 +102,7 @@
 	case behind <= core.Version(len(g.changes)):
 		m.Changes = g.changes[len(g.changes)-int(behind):]
 	default:
-		m.Tables = g.tables
+		m.Tables = g.lent
 	}
 	g.holders[w.from] = held{version: w.ask.Have, until: t.Now.Add(lease)}
 	t.Send(w.from, m)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -38,7 +38,7 @@
 	empty.Index()
 	p := &part{
 		holder:  holder{serveStale: env.ServeStale, keepers: env.Keepers, tables: empty, next: env.Rand.Uint64() >> 1},
-		grantor: grantor{self: env.Self, tables: empty, holders: map[core.HostID]held{}, pending: core.Pending[waiting]{Mark: core.MarkLease}},
+		grantor: grantor{self: env.Self, tables: empty, lent: empty, holders: map[core.HostID]held{}, pending: core.Pending[waiting]{Mark: core.MarkLease}},
 		status:  map[uint64]*statusAsk{},
 	}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
--- a/io/host/frame.go
+++ b/io/host/frame.go
@@ -67,6 +67,12 @@
 	return out, nil
 }
 
+// maxCompressing bounds the batches that are compressed at once: each takes a megabyte, and a new configuration goes to all
+// hosts at the same time.
+const maxCompressing = 2
+
+var compressing = make(chan struct{}, maxCompressing)
+
 var writers = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
@@ -76,6 +82,8 @@
 }}
 
 func compress(body []byte) ([]byte, error) {
+	compressing <- struct{}{}
+	defer func() { <-compressing }()
 	var out bytes.Buffer
 	w := writers.Get().(*flate.Writer)
 	defer writers.Put(w)
