core/entry: an attempt that ends at the deadline is late, whoever's timer is first

Cause: the connection's deadline and the core's are the same moment; where the first one won, the call counted as broken, with its outcome unknown. Ruled out: an early end of the upstream (it sleeps). A failure at the deadline of a whole route is now the deadline's, and is not retried. The new test brings it about without timers and failed before.

--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -13,12 +13,16 @@
 // attemptFailed gives the attempt's place back and tries another one where that can't run a call twice.
 func (p *part) attemptFailed(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) {
 	r.ran = r.ran || !f.NotRun
-	if p.retry(t, r, f, failed) {
+	late := r.route.Whole && !f.NotRun && core.Due(r.Deadline, t.Now)
+	if late {
+		f = core.Fail(core.KindDeadline, "the answer was not complete in time: %s", f.Message)
+	}
+	if !late && p.retry(t, r, f, failed) {
 		return
 	}
 	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
 	out := *f
-	if r.service && !r.route.Repeatable && !f.NotRun {
+	if r.service && !r.route.Repeatable && !f.NotRun && !late {
 		out.Kind = core.KindOutcomeUnknown
 	}
 	out.NotRun = !r.ran
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -250,6 +250,20 @@
 	}
 }
 
+// The traffic side's own timer may be first at the deadline; the answer is the same.
+func TestAttemptThatEndsAtTheDeadlineIsLate(t *testing.T) {
+	for _, path := range []string{"/order/1", "/look/1", "/once/1"} {
+		d := newDesk(t, budget)
+		d.ask("r", path)
+		a := core.AttemptID{Request: "r", Number: 1}
+		d.now = d.now.Add(10 * time.Second)
+		d.step(core.CallEnded{Attempt: a, Failure: cut})
+		d.step(core.DecodeEnded{Attempt: a, Failure: cut, Broken: true})
+		require.Equal(t, core.KindDeadline, d.refusal("r").Kind, path)
+		require.False(t, d.refusal("r").NotRun, path)
+	}
+}
+
 func TestWorkForACallerThatIsGoneIsBrokenOff(t *testing.T) {
 	for path, broken := range map[string]int{"/look/1": 1, "/verse/1": 1, "/once/1": 1, "/order/1": 0} {
 		d := newDesk(t, budget)
