core/entry: a repeated prefill costs a retry of its own

Cause: only the first prefill of a request is free on the platform, but a retry spent one credit and sent two calls, a prefill and a decode. Where an engine's address changed hands, many requests did so at once. Ruled out: the share between hosts (no host spent more than its part). Without a credit for the second prefill the decode engine reads the prompt, as it does when a prefill fails. Routes of the own protocol, whose engines need a result, are as before.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -250,6 +250,21 @@
 		p.decode(t, r, core.KVRef{})
 		return
 	}
+	p.prefill(t, r)
+}
+
+// prefill has the prompt read by the prefill engine. Another time for the same stream costs a retry of its own; without one
+// left the decode engine, which can on such a route, reads the prompt.
+func (p *part) prefill(t *core.Turn, r *request) {
+	m := r.placed
+	if r.route.Stream && r.prefills > 0 && !p.budget(r.pool).spend(p.retries, p.hosts) {
+		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: "no retry left for another prefill", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill)})
+		p.sendDone(t, r, core.PlaceDone{PrefillOnly: true})
+		r.bare = true
+		p.decode(t, r, core.KVRef{})
+		return
+	}
+	r.prefills++
 	r.stage = stagePrefill
 	p.arm(r)
 	t.Do(core.RunPrefill{Attempt: m.Attempt, Upstream: m.PrefillAddr, Instance: m.Prefill, Account: r.account.ID, Epoch: m.Epoch, Blocks: r.Blocks, Timeout: r.prefillWait()})
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -52,8 +52,9 @@
 	// queued is true once the dispatcher said so after the last ask; solo attempts are placed by the own ledger.
 	queued bool
 	solo   bool
-	// bare is true once a decode was sent without the prefill's result.
-	bare bool
+	// bare is true once a decode was sent without the prefill's result; prefills counts the prefill calls of all attempts.
+	bare     bool
+	prefills int
 	// relayed is how many tokens the caller has; prompt is the prompt's length as the engine counted it.
 	relayed core.Tokens
 	prompt  core.Tokens
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -317,6 +317,35 @@
 	require.Equal(t, 3, retries(alone, 50), "a host that loses sight of the others keeps to its part")
 }
 
+// A retry that has its prompt read again sends two calls, and the shared budget counts both.
+func TestRetryBudgetCountsRepeatedPrefills(t *testing.T) {
+	const requests, burst = 50, 12
+	d := newDesk(t, core.RetryBudget{Share: 0.1, Burst: burst, Shared: true})
+	p := core.Announcement{ID: "p1", Pool: "verse", Role: core.RolePrefill, Slots: 8, Sized: true, Incarnation: 1, Seq: 1, Addr: netip.MustParseAddrPort("10.0.1.9:80")}
+	d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: p}}}})
+	for n := range requests {
+		id := core.RequestID(fmt.Sprint("r", n))
+		d.ask(id, "/verse/1")
+		for seen := 0; seen < len(d.did); seen++ {
+			switch a := d.did[seen].(type) {
+			case core.RunPrefill:
+				if a.Attempt.Request == id {
+					d.step(core.PrefillEnded{Attempt: a.Attempt, Prompt: 1000})
+				}
+			case core.RunDecode:
+				if a.Attempt.Request == id {
+					d.step(core.DecodeEnded{Attempt: a.Attempt, Failure: unread})
+				}
+			}
+		}
+		require.NotNil(t, d.refusal(id))
+	}
+	prefills, decodes := len(done[core.RunPrefill](d)), len(done[core.RunDecode](d))
+	require.GreaterOrEqual(t, prefills, requests, "each request's prompt is read apart")
+	require.LessOrEqual(t, prefills+decodes-2*requests, burst)
+	require.Greater(t, decodes, requests, "some are retried")
+}
+
 // An ask that gets no word is placed by the own ledger; one that is queued is not.
 func TestSilentDispatcherIsDoneWithout(t *testing.T) {
 	silent := func() (*desk, core.HostID) {
