One accept loop and one decode without a prefill's result

Behaviour is as before, but that the decision's line comes after the prefill's end in the log's order.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -258,10 +258,8 @@
 func (p *part) prefill(t *core.Turn, r *request) {
 	m := r.placed
 	if r.route.Stream && r.prefills > 0 && !p.budget(r.pool).spend(p.retries, p.hosts) {
-		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: "no retry left for another prefill", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill)})
 		p.sendDone(t, r, core.PlaceDone{PrefillOnly: true})
-		r.bare = true
-		p.decode(t, r, core.KVRef{})
+		p.decodeBare(t, r, "no retry left for another prefill", m.Prefill)
 		return
 	}
 	r.prefills++
@@ -277,10 +275,8 @@
 	}
 	if e.Failure != nil && r.route.Stream {
 		// Its decode engine can read the prompt as well, without another attempt.
-		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: e.Failure.Error(), Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Prefill)})
 		p.sendDone(t, r, core.PlaceDone{PrefillOnly: true, Failed: blame(e.Failure, r.placed.Prefill)})
-		r.bare = true
-		p.decode(t, r, core.KVRef{})
+		p.decodeBare(t, r, e.Failure.Error(), r.placed.Prefill)
 		return
 	}
 	if e.Failure != nil {
@@ -295,6 +291,13 @@
 	p.decode(t, r, e.KV)
 }
 
+// decodeBare lets the decode engine read the prompt as well; target is the engine whose part it takes over.
+func (p *part) decodeBare(t *core.Turn, r *request, reason string, target core.UpstreamID) {
+	t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: reason, Request: r.ID, Attempt: r.attemptID().Number, Pool: r.pool, Target: string(target)})
+	r.bare = true
+	p.decode(t, r, core.KVRef{})
+}
+
 // decode starts the stream, from a prefill's result or from the prompt itself.
 func (p *part) decode(t *core.Turn, r *request, kv core.KVRef) {
 	r.stage = stageDecode
@@ -338,9 +341,7 @@
 		return
 	}
 	if e.Failure.NotRun && r.route.Stream && r.placed.Prefill != "" && !r.bare && p.budget(r.pool).spend(p.retries, p.hosts) {
-		t.Decide(core.Decision{Part: "entry", Choice: "bare", Reason: e.Failure.Error(), Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.placed.Decode)})
-		r.bare = true
-		p.decode(t, r, core.KVRef{})
+		p.decodeBare(t, r, e.Failure.Error(), r.placed.Decode)
 		return
 	}
 	p.attemptFailed(t, r, e.Failure, r.placed.Decode)
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -12,14 +12,11 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/control"
+	"oleanderlever/io/socket"
 )
 
-const (
-	// greetingTimeout bounds how long a new connection may take to say who it is.
-	greetingTimeout = 5 * time.Second
-	// acceptPause keeps a lack of descriptors from becoming a busy loop.
-	acceptPause = 50 * time.Millisecond
-)
+// greetingTimeout bounds how long a new connection may take to say who it is.
+const greetingTimeout = 5 * time.Second
 
 // server takes the batches of other hosts.
 type server struct {
@@ -33,18 +30,11 @@
 }
 
 func (s *server) serve(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			s.log.Error().Err(err).Msg("accept host")
-			time.Sleep(acceptPause)
-		case s.add(conn):
+	socket.Accept(l, s.log, func(conn net.Conn) {
+		if s.add(conn) {
 			go s.take(conn)
 		}
-	}
+	})
 }
 
 func (s *server) add(conn net.Conn) bool {
--- a/io/socket/doc.go
+++ b/io/socket/doc.go
@@ -1,2 +1,2 @@
-// Package socket bounds how long a TCP connection may be silent and notices when its other end goes.
+// Package socket accepts TCP connections, bounds how long one may be silent and notices when its other end goes.
 package socket
