--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -83,15 +83,10 @@
 
 // pass lets time go by with all ticks.
 func (d *desk) pass(span time.Duration) {
-	for end := d.now.Add(span); ; {
-		next := d.k.NextDeadline()
-		if next.IsZero() || next.After(end) {
-			d.now = end
-			return
-		}
-		d.now = next
-		d.step(core.Tick{})
-	}
+	d.now = harness.Pass(d.k, d.now, span, func(now time.Time, ev core.Event) {
+		d.now = now
+		d.step(ev)
+	})
 }
 
 func (d *desk) ask(id core.RequestID, path string) {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -48,15 +48,10 @@
 }
 
 func (d *desk) pass(span time.Duration) {
-	for end := d.now.Add(span); ; {
-		next := d.k.NextDeadline()
-		if next.IsZero() || next.After(end) {
-			d.now = end
-			return
-		}
-		d.now = next
-		d.step(core.Tick{})
-	}
+	d.now = harness.Pass(d.k, d.now, span, func(now time.Time, ev core.Event) {
+		d.now = now
+		d.step(ev)
+	})
 }
 
 func said(id core.UpstreamID, incarnation, seq uint64, leaving bool) core.UpstreamAnnounced {
