--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -74,7 +74,7 @@
 		if stale == nil {
 			return
 		}
-		p.fresh.drop(stale)
+		p.fresh.miss(stale)
 		p.late.push(stale)
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -10,9 +10,8 @@
 
 // waiting is an attempt in the queue.
 type waiting struct {
-	ask   core.PlaceAsk
-	from  core.HostID
-	start float64
+	ask  core.PlaceAsk
+	from core.HostID
 	// arrived is when the caller's request came, queued when the attempt came here.
 	arrived time.Time
 	queued  time.Time
@@ -24,16 +23,19 @@
 // lane is one client account's part of the queue.
 type lane struct {
 	account core.AccountID
+	weight  float64
 	list    []*waiting
-	finish  float64
+	// start is where the lane's next attempt starts in virtual time.
+	start float64
 	// at is the lane's place in the heap of lanes that have something waiting.
 	at int
 }
 
 // fairQueue shares a pool between client accounts by token cost.
 //
-// It is start-time fair queueing (Goyal, Vin, Cheng 1996): each attempt starts where its account's last one ended in
-// virtual time, and the earliest start goes first. Deficit round robin was rejected, since an attempt of tens of
+// It is start-time fair queueing (Goyal, Vin, Cheng 1996): each attempt starts where its account's last placed one ended in
+// virtual time, and the earliest start goes first. An attempt that leaves without a place costs its account little, so an
+// account that misses targets is soon to meet one. Deficit round robin was rejected, since an attempt of tens of
 // thousands of tokens would make its rounds long; first come first served, since one account can then fill the queue.
 type fairQueue struct {
 	virtual float64
@@ -50,8 +52,8 @@
 }
 
 func earlierLane(a, b *lane) bool {
-	if a.list[0].start != b.list[0].start {
-		return a.list[0].start < b.list[0].start
+	if a.start != b.start {
+		return a.start < b.start
 	}
 	return a.account < b.account
 }
@@ -66,9 +68,10 @@
 		l = &lane{account: id, at: -1}
 		q.lanes[id] = l
 	}
-	weight := float64(max(1, w.ask.Weight))
-	w.start = max(q.virtual-idleCredit/weight, l.finish)
-	l.finish = w.start + cost(&w.ask)/weight
+	l.weight = float64(max(1, w.ask.Weight))
+	if len(l.list) == 0 {
+		l.start = max(l.start, q.virtual-l.credit())
+	}
 	i := len(l.list)
 	for i > 0 && w.rank.Before(l.list[i-1].rank) {
 		i--
@@ -92,9 +95,29 @@
 	q.busy.Ascend(func(l *lane) bool { return visit(l.list[0]) })
 }
 
-// pop takes out an attempt that was placed and moves virtual time on to it.
+// credit is the idle credit in virtual time.
+func (l *lane) credit() float64 { return idleCredit / l.weight }
+
+// pop takes out an attempt that was placed, charges its account and moves virtual time on to it.
 func (q *fairQueue) pop(w *waiting) {
-	q.virtual = max(q.virtual, w.start)
+	l := q.where[w.ask.Attempt]
+	q.virtual = max(q.virtual, l.start)
+	l.start += cost(&w.ask) / l.weight
+	if len(l.list) > 1 {
+		q.busy.Fix(l)
+	}
+	q.drop(w)
+}
+
+// missedShare is the part of its cost that an attempt is charged which missed its target without a place: with nothing an
+// account that floods the queue gains too much by its misses, with all an account loses by a misfortune once more.
+const missedShare = 0.25
+
+// miss takes out an attempt that can't meet its target any more.
+func (q *fairQueue) miss(w *waiting) {
+	l := q.where[w.ask.Attempt]
+	l.start += missedShare * cost(&w.ask) / l.weight
+	q.busy.Fix(l)
 	q.drop(w)
 }
 
@@ -117,7 +140,7 @@
 // forget drops an empty lane whose account has used no more than its share; one that is ahead is remembered until
 // virtual time has caught up with it.
 func (q *fairQueue) forget(l *lane) {
-	if l.finish <= q.virtual-idleCredit {
+	if l.start <= q.virtual-l.credit() {
 		delete(q.lanes, l.account)
 		return
 	}
@@ -125,7 +148,7 @@
 		return
 	}
 	for id, other := range q.lanes {
-		if len(other.list) == 0 && other.finish <= q.virtual-idleCredit {
+		if len(other.list) == 0 && other.start <= q.virtual-other.credit() {
 			delete(q.lanes, id)
 		}
 	}
