--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -34,6 +34,7 @@
 	lateRuns core.AttemptID
 	pace     pace
 	load     load
+	work     work
 	held     map[core.AttemptID]*held
 	// answering and prefilling are the usable upstreams for each half of an attempt, the least loaded first.
 	answering  ordered.Heap[*upstream]
--- a/core/dispatch/shift.go
+++ b/core/dispatch/shift.go
@@ -8,8 +8,6 @@
 
 // A pool's engines change roles when one half has been busy and the other idle for a while. The gap between the bounds
 // for going and for coming back is the hysteresis, and shiftPause lets a change show before the next one.
-// Engines that the configuration gives the size of read prompts by themselves where no prefill engine is free, so their
-// pools can do with fewer prefill engines, and change sooner.
 const (
 	busyPrefill = 0.85
 	idlePrefill = 0.40
@@ -24,22 +22,8 @@
 	steady    = 0.05
 	// minEngines stay in each half.
 	minEngines = 2
-
-	sizedBusyDecode  = 0.70
-	sizedIdlePrefill = 0.70
-	sizedIdleDecode  = 0.60
 )
 
-// bounds are the loads at which a pool's engines change roles.
-type bounds struct{ busyDecode, idlePrefill, idleDecode float64 }
-
-func (p *pool) bounds() bounds {
-	if p.engine != nil {
-		return bounds{sizedBusyDecode, sizedIdlePrefill, sizedIdleDecode}
-	}
-	return bounds{busyDecode, idlePrefill, idleDecode}
-}
-
 // load is how busy the two halves of a pool have been lately, from 0 to 1.
 type load struct {
 	prefill float64
@@ -52,6 +36,14 @@
 	to     core.Role
 }
 
+// share is how much busier the prefill engines have been than the others, for the log.
+func (p *pool) share() float64 {
+	if p.engine != nil {
+		return p.work.prefill / prefillFull / max(p.work.decode, 1)
+	}
+	return p.load.prefill - p.load.decode
+}
+
 // sample takes one look at a pool.
 func (p *pool) sample(now time.Time) (prefillers, decoders []*upstream) {
 	busy, fill := 0, 0.0
@@ -87,11 +79,10 @@
 	}
 	var from []*upstream
 	var to core.Role
-	b := p.bounds()
 	switch {
-	case p.load.prefill > busyPrefill && !p.load.rising && without(p.load.decode, len(decoders)) < b.idleDecode:
+	case p.load.prefill > busyPrefill && !p.load.rising && without(p.load.decode, len(decoders)) < idleDecode:
 		from, to = decoders, core.RolePrefill
-	case p.load.decode > b.busyDecode && without(p.load.prefill, len(prefillers)) < b.idlePrefill:
+	case p.load.decode > busyDecode && without(p.load.prefill, len(prefillers)) < idlePrefill:
 		from, to = prefillers, core.RoleDecode
 	}
 	if to != p.load.to {
@@ -100,9 +91,7 @@
 	if len(from) <= minEngines || now.Sub(p.load.wanted) < shiftHold {
 		return core.Assignment{}, false
 	}
-	u := idlest(from)
-	p.load.shifted = now
-	return core.Assignment{Upstream: u.ID, Pool: p.id, Role: to, Version: u.Version, Adapter: u.Adapter}, true
+	return p.reassign(idlest(from), to, now), true
 }
 
 // without returns how busy a half would be with one engine less.
@@ -126,13 +115,20 @@
 
 // shiftRoles asks the leader for a change of roles where the pool's policy allows it.
 func (p *part) shiftRoles(t *core.Turn, pl *pool) {
-	a, ok := pl.shift(t.Now)
-	if !ok || !p.tables.Policy(pl.id).AutoRoles {
+	if owner, ok := p.owners.Of(pl.id, pl.engine == nil, p.members); !ok || owner.Host != p.self || !p.tables.Policy(pl.id).AutoRoles {
+		return
+	}
+	shift := pl.shift
+	if pl.engine != nil {
+		shift = pl.divide
+	}
+	a, ok := shift(t.Now)
+	if !ok {
 		return
 	}
 	t.Decide(core.Decision{
 		Part: "dispatch", Choice: "shift", Reason: "the other half of the pool is busier", Pool: pl.id,
-		Target: string(a.Upstream) + ">" + string(a.Role), Score: pl.load.prefill - pl.load.decode,
+		Target: string(a.Upstream) + ">" + string(a.Role), Score: pl.share(),
 	})
 	t.Send(p.leader, core.ShiftWanted{Assignment: a})
 }
