--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -56,7 +56,11 @@
 		return
 	}
 	if u := pl.upstreams[m.Failed]; u != nil {
-		u.failed(t.Now)
+		if m.Moved {
+			u.moved = true
+		} else {
+			u.failed(t.Now)
+		}
 		pl.refresh(u, t.Now, p.tables.Policy(pl.id))
 		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
 	}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -411,6 +411,7 @@
 		p.upstreams[a.ID] = u
 		p.recount(a.ID, u)
 	}
+	u.moved = u.moved && a.Seq > 0 && a.Seq == u.Seq
 	a.Leaving = a.Leaving || (a.Seq > 0 && u.Leaving)
 	u.Announcement = a
 	u.heard = later(u.heard, now)
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -49,6 +49,8 @@
 	cache     map[uint64]uint64
 	clock     uint64
 	seq       uint64
+	// moved is true since an attempt found another upstream there, or one of another role, until the next announcement.
+	moved     bool
 	failures  int
 	openUntil time.Time
 	backoff   time.Duration
@@ -59,7 +61,7 @@
 
 // usable reports whether an upstream may get new work.
 func (u *upstream) usable(lastHeard, now time.Time, silence time.Duration, policy core.UpstreamPolicy) bool {
-	return !u.Leaving && lastHeard.Sub(u.heard) < silence && !now.Before(u.openUntil) && !slices.Contains(policy.Drained, u.ID)
+	return !u.Leaving && !u.moved && lastHeard.Sub(u.heard) < silence && !now.Before(u.openUntil) && !slices.Contains(policy.Drained, u.ID)
 }
 
 // failed counts a failure and opens the breaker after several in a row.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -275,7 +275,9 @@
 	}
 	if e.Failure != nil && r.route.Stream {
 		// Its decode engine can read the prompt as well, without another attempt.
-		p.sendDone(t, r, core.PlaceDone{PrefillOnly: true, Failed: blame(e.Failure, r.placed.Prefill)})
+		done := failedDone(e.Failure, r.placed.Prefill)
+		done.PrefillOnly, done.Cancel = true, false
+		p.sendDone(t, r, done)
 		p.decodeBare(t, r, e.Failure.Error(), r.placed.Prefill)
 		return
 	}
@@ -340,7 +342,7 @@
 		})
 		return
 	}
-	if e.Failure.NotRun && r.route.Stream && r.placed.Prefill != "" && !r.bare && p.budget(r.pool).spend(p.retries, p.hosts) {
+	if e.Failure.NotRun && e.Failure.Kind != core.KindMisdirected && r.route.Stream && r.placed.Prefill != "" && !r.bare && p.budget(r.pool).spend(p.retries, p.hosts) {
 		p.decodeBare(t, r, e.Failure.Error(), r.placed.Decode)
 		return
 	}
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -20,7 +20,7 @@
 	if !late && p.retry(t, r, f, failed) {
 		return
 	}
-	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
+	p.sendDone(t, r, failedDone(f, failed))
 	out := *f
 	if r.service && !r.route.Repeatable && !f.NotRun && !late {
 		out.Kind = core.KindOutcomeUnknown
@@ -42,13 +42,18 @@
 	return failed
 }
 
+// failedDone gives back the place of an attempt that has failed.
+func failedDone(f *core.Failure, failed core.UpstreamID) core.PlaceDone {
+	return core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed), Moved: f.Kind == core.KindMisdirected}
+}
+
 // retry asks for another place for a request whose attempt has failed, if that is allowed and the budget lasts.
 func (p *part) retry(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) bool {
 	allowed := r.mayRetry(f) || (p.retryAll && r.ask.Attempt.Number < maxAttempts)
 	if !allowed || !p.budget(r.pool).spend(p.retries, p.hosts) {
 		return false
 	}
-	p.sendDone(t, r, core.PlaceDone{Cancel: !f.NotRun, Failed: blame(f, failed)})
+	p.sendDone(t, r, failedDone(f, failed))
 	r.avoid = append(r.avoid, failed)
 	t.Decide(core.Decision{Part: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(failed)})
 	p.askPlace(t, r)
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -426,3 +426,39 @@
 	d.ask("r", "/order/1")
 	require.Equal(t, core.KindNotReady, d.refusal("r").Kind)
 }
+
+// An upstream that answers as another one, or has another role by now, gets nothing more until it announces itself anew, and
+// a stream that it refused is not sent there once more.
+func TestMisdirectedAttemptsAreNotRepeated(t *testing.T) {
+	d := newDesk(t, budget)
+	moved := &core.Failure{Kind: core.KindMisdirected, Message: "another upstream", NotRun: true}
+	prefill := core.Announcement{ID: "p1", Pool: "verse", Role: core.RolePrefill, Slots: 8, Sized: true, Incarnation: 1, Seq: 1, Addr: netip.MustParseAddrPort("10.0.1.9:80")}
+	d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: prefill}}}})
+	d.ask("r", "/once/1")
+	a := core.AttemptID{Request: "r", Number: 1}
+	d.step(core.PrefillEnded{Attempt: a, Prompt: 1000})
+	first := done[core.RunDecode](d)[0].Instance
+	d.step(core.DecodeEnded{Attempt: a, Failure: moved})
+	require.Len(t, done[core.RunDecode](d), 1)
+	require.True(t, d.refusal("r").NotRun)
+
+	asked := 0
+	instances := func(n int) []core.UpstreamID {
+		var out []core.UpstreamID
+		for range n {
+			asked++
+			id := core.RequestID(fmt.Sprint("q", asked))
+			d.ask(id, "/once/1")
+			d.step(core.PrefillEnded{Attempt: core.AttemptID{Request: id, Number: 1}, Prompt: 1000})
+			runs := done[core.RunDecode](d)
+			out = append(out, runs[len(runs)-1].Instance)
+		}
+		return out
+	}
+	require.NotContains(t, instances(4), first)
+	d.hear()
+	require.NotContains(t, instances(1), first, "the same words again are no news")
+	news := core.Announcement{ID: first, Pool: "verse", Role: core.RoleDecode, Slots: 8, Sized: true, Incarnation: 1, Seq: 2, Addr: netip.MustParseAddrPort("10.0.1.8:80")}
+	d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: news}}}})
+	require.Contains(t, instances(1), first)
+}
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -35,6 +35,8 @@
 	KindForbidden
 	KindCancelled
 	KindInternal
+	// KindMisdirected means that an upstream is another one, or does something else, than it said.
+	KindMisdirected
 	kindCount
 )
 
@@ -78,6 +80,7 @@
 	KindForbidden:       {Name: "forbidden", NotRun: true},
 	KindCancelled:       {Name: "cancelled"},
 	KindInternal:        {Name: "internal"},
+	KindMisdirected:     {Name: "misdirected"},
 }
 
 // Kinds returns every kind but KindNone, in the order of the list.
--- a/core/message.go
+++ b/core/message.go
@@ -276,6 +276,8 @@
 	Cancel bool `cbor:"cancel"`
 	// Failed names the upstream that failed the attempt, or is empty.
 	Failed UpstreamID `cbor:"failed"`
+	// Moved is true where the upstream named by Failed is another one, or does something else, than it said.
+	Moved bool `cbor:"moved,omitempty"`
 	// First is the time from the prefill's end to the first token, or zero where there was none.
 	First time.Duration `cbor:"first"`
 }
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -33,6 +33,7 @@
 	core.KindNotReady:        fasthttp.StatusServiceUnavailable,
 	core.KindDeadline:        fasthttp.StatusGatewayTimeout,
 	core.KindUpstreamRefused: fasthttp.StatusServiceUnavailable,
+	core.KindMisdirected:     fasthttp.StatusServiceUnavailable,
 	core.KindUpstreamFailed:  fasthttp.StatusBadGateway,
 	core.KindOutcomeUnknown:  fasthttp.StatusBadGateway,
 	core.KindOnceConflict:    fasthttp.StatusUnprocessableEntity,
