--- a/core/quota/advance.go
+++ b/core/quota/advance.go
@@ -40,18 +40,30 @@
 	return lent - paid
 }
 
+// unlentShare is the part of the rates that all hosts together may spend without a loan: while the owner is silent to this
+// host it may lend to others, but one that is new lends to nobody, so the hosts divide the whole rate.
+func (h *holder) unlentShare(now time.Time) float64 {
+	switch {
+	case h.policy.StaleShare > 0 && now.Before(h.closed):
+		return 1
+	case !h.waits.IsZero() && now.Sub(h.waits) >= silentAfter:
+		return h.policy.StaleShare
+	}
+	return 0
+}
+
 // payWhileSilent pays the debt off at this host's part of the rate while the owner does not answer, so that a host which is
 // cut off serves on. The owner hears nothing of it: the allowance for all hosts bounds the sum.
 func (h *holder) payWhileSilent(t *core.Turn, id core.AccountID, a *account) {
-	silent := h.policy.StaleShare > 0 && !h.waits.IsZero() && t.Now.Sub(h.waits) >= silentAfter
-	h.note(t, silent)
+	share := h.unlentShare(t.Now)
+	h.note(t, share > 0)
 	since := a.paid
 	a.paid = t.Now
 	limit, ok := h.tables.Account(id)
-	if !silent || !ok || since.IsZero() {
+	if share == 0 || !ok || since.IsZero() {
 		return
 	}
-	rate := h.policy.StaleShare * float64(limit.Rate) / float64(h.hosts)
+	rate := share * float64(limit.Rate) / float64(h.hosts)
 	a.debt -= core.Tokens(rate * t.Now.Sub(since).Seconds())
 	// What the debt falls below zero by is a store for requests larger than the advance, of a second's allowance at most.
 	a.debt = max(a.debt, -core.Tokens(rate))
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -84,6 +84,8 @@
 	hosts int
 	// silent is true while the owner does not answer, or lends nothing yet.
 	silent bool
+	// closed is until when a new owner lends nothing to any host.
+	closed time.Time
 	// waits is since when an ask has had no answer.
 	waits time.Time
 }
@@ -318,6 +320,9 @@
 		h.newEpoch(m.Epoch)
 	}
 	for _, l := range m.Lines {
+		if m.Closed {
+			h.closed = at.Add(min(l.Ready, Lease))
+		}
 		h.lent(t, h.account(t, l.Account), at, l)
 	}
 	if h.next.IsZero() && len(h.accounts) > 0 {
