--- a/core/entry/admit.go
+++ b/core/entry/admit.go
@@ -39,14 +39,14 @@
 	return a, nil
 }
 
-// admit checks a request against the configuration.
-func (p *part) admit(t *core.Turn, r *core.Request) (admitted, *core.Failure) {
+// admit checks a request that arrived at some time against the configuration.
+func (p *part) admit(t *core.Turn, r *core.Request, arrived time.Time) (admitted, *core.Failure) {
 	if r.Model != "" {
 		return p.admitModel(t, r)
 	}
 	route, ok := p.tables.RouteFor(r.Host, r.Path)
 	if !ok && p.tables.Version == 0 {
-		return admitted{}, core.Fail(core.KindNotReady, "the host has no configuration yet")
+		return admitted{}, noConfiguration()
 	}
 	if !ok {
 		return admitted{}, core.Fail(core.KindNoRoute, "no route for %q", r.Path)
@@ -55,7 +55,7 @@
 	pool, ok := p.tables.Pool(a.pool)
 	a.plain = !ok || pool.Engine == nil
 	if route.Whole {
-		r.Deadline = core.Earlier(r.Deadline, t.Now.Add(route.Timeout))
+		r.Deadline = core.Earlier(r.Deadline, arrived.Add(route.Timeout))
 	}
 	if route.Open {
 		return a, nil
@@ -72,6 +72,10 @@
 	return a, nil
 }
 
+func noConfiguration() *core.Failure {
+	return core.Fail(core.KindNotReady, "the host has no configuration yet")
+}
+
 // costOf returns what a request on a route takes from its account's bucket.
 func costOf(a *core.Account, route *core.Route, r *core.Request) core.Tokens {
 	named := r.Prompt + r.MaxOutput
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -26,6 +26,9 @@
 	hosts    int
 	tables   *core.Tables
 	until    time.Time
+	// started is when the host started; parked are the requests that wait for its first configuration.
+	started time.Time
+	parked  []core.RequestID
 	members  []core.Member
 	requests map[core.RequestID]*request
 	wakes    ordered.Heap[*request]
@@ -68,6 +71,8 @@
 
 func (p *part) handle(t *core.Turn, ev core.Event) {
 	switch e := ev.(type) {
+	case core.Started:
+		p.started = t.Now
 	case core.RequestArrived:
 		p.arrived(t, e.Request)
 	case core.CallerGone:
@@ -94,9 +99,11 @@
 		p.tables = e.Tables
 		p.publish(t)
 		p.refuseWithdrawn(t)
+		p.unpark(t)
 	case core.LeaseChanged:
 		p.until = e.Until
 		p.publish(t)
+		p.unpark(t)
 	case core.MembersChanged:
 		p.members = e.Members
 		// A host that loses sight of the others must not take their parts of the retry budget.
@@ -149,7 +156,16 @@
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
 		return
 	}
-	a, f := p.admit(t, &r)
+	if p.mayPark(t.Now) && r.Model == "" && p.requests[r.ID] == nil {
+		p.park(t, &r)
+		return
+	}
+	p.takeUp(t, r, t.Now)
+}
+
+// takeUp checks a request that has arrived at some time, and starts it.
+func (p *part) takeUp(t *core.Turn, r core.Request, arrived time.Time) {
+	a, f := p.admit(t, &r, arrived)
 	if f == nil && p.lameDuck && a.route.Stream && !t.Now.Before(p.streamsUntil) {
 		f = core.Fail(core.KindNotReady, "the host is shutting down")
 	}
@@ -161,7 +177,7 @@
 		t.Do(core.Refuse{Request: r.ID, Failure: f})
 		return
 	}
-	rq := &request{Request: r, admitted: a, arrived: t.Now, wakeAt: -1}
+	rq := &request{Request: r, admitted: a, stage: stageQuota, arrived: arrived, wakeAt: -1}
 	rq.once = onceKey(&a, &r)
 	t.Decide(core.Decision{
 		Part: "entry", Choice: "admit", Reason: "inside the configuration", Request: r.ID, Account: a.account.ID,
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -79,6 +79,8 @@
 	r.gone = true
 	gone := core.Fail(core.KindCancelled, "the caller is gone")
 	switch r.stage {
+	case stageConfig:
+		p.leavePark(t, r, gone)
 	case stageQuota, stagePlace:
 		p.stopWaiting(t, r, gone)
 	case stageCall:
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -160,6 +160,10 @@
 
 // wakeUp refuses a request that has waited too long, or asks the dispatcher again.
 func (p *part) wakeUp(t *core.Turn, r *request) {
+	if r.stage == stageConfig {
+		p.leavePark(t, r, noConfiguration())
+		return
+	}
 	if r.stage > stagePlace {
 		p.breakOff(t, r, core.Fail(core.KindDeadline, "the answer was not complete in time"))
 		return
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -10,7 +10,9 @@
 type stage uint8
 
 const (
-	stageQuota stage = iota
+	// stageConfig requests wait for the host's first configuration.
+	stageConfig stage = iota
+	stageQuota
 	stageOnce
 	stagePlace
 	stagePrefill
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -420,11 +420,33 @@
 	require.True(t, d.refusal("c3").NotRun)
 }
 
+// A host that has just started lets requests wait for its configuration for a while; later it refuses them at once.
 func TestHostWithoutAConfigurationIsNotReady(t *testing.T) {
 	d := newDesk(t, budget)
 	d.step(core.TablesChanged{Tables: &core.Tables{}})
-	d.ask("r", "/order/1")
-	require.Equal(t, core.KindNotReady, d.refusal("r").Kind)
+	d.ask("waits", "/order/1")
+	d.ask("leaves", "/order/1")
+	d.pass(200 * time.Millisecond)
+	require.Nil(t, d.refusal("waits"))
+	d.step(core.CallerGone{Request: "leaves"})
+	d.step(core.TablesChanged{Tables: routed()})
+	calls := done[core.RunCall](d)
+	require.Len(t, calls, 1, "the one whose caller is there runs")
+	require.Equal(t, core.RequestID("waits"), calls[0].Attempt.Request)
+	d.pass(601 * time.Millisecond)
+	require.Equal(t, core.KindDeadline, d.refusal("waits").Kind, "the route's timeout counts from the arrival")
+
+	d = newDesk(t, budget)
+	d.step(core.TablesChanged{Tables: &core.Tables{}})
+	d.ask("early", "/order/1")
+	d.pass(time.Second)
+	require.Equal(t, core.KindNotReady, d.refusal("early").Kind)
+	require.True(t, d.refusal("early").NotRun)
+	d.pass(3 * time.Second)
+	d.ask("late", "/order/1")
+	require.Equal(t, core.KindNotReady, d.refusal("late").Kind, "at once")
+	d.step(core.TablesChanged{Tables: routed()})
+	require.Empty(t, done[core.RunCall](d), "what was refused does not run")
 }
 
 // An upstream that answers as another one, or has another role by now, gets nothing more until it announces itself anew, and
