--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"oleanderlever/core"
@@ -16,7 +17,8 @@
 		t.Send(from, h.placed)
 		return
 	}
-	if pl.fresh.has(m.Attempt) || pl.late.has(m.Attempt) {
+	if w := cmp.Or(pl.fresh.find(m.Attempt), pl.late.find(m.Attempt)); w != nil {
+		w.ask.Alone = m.Alone
 		p.tellQueued(t, from, m.Attempt)
 		return
 	}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -249,7 +249,7 @@
 			return false
 		}
 		slots = true
-		if w.ask.Service == (u.Role == core.RoleService) && (w.ask.Service || u.memory+memory <= p.room(u)) {
+		if w.ask.Service == (u.Role == core.RoleService) && (w.ask.Service || p.fits(w.ask.Alone, u, memory)) {
 			into := &c
 			if slices.Contains(w.ask.Avoid, u.ID) {
 				into = &avoided
@@ -270,6 +270,21 @@
 	return c, verdictFull
 }
 
+// aloneShare times its even part of an engine, a host that places by its own ledger may take: callers are spread unevenly
+// over the hosts, but if each took what looks free to it, engines would be asked for several times their memory.
+const aloneShare = 1.5
+
+// fits reports whether an engine has the memory for an attempt. A host that is alone may take its part of the engine, and
+// always one attempt.
+func (p *pool) fits(alone *core.Alone, u *upstream, memory core.Tokens) bool {
+	if alone == nil {
+		return u.memory+memory <= p.room(u)
+	}
+	own := u.memory + alone.Beside[u.ID]
+	part := core.Tokens(aloneShare * float64(p.room(u)) / float64(alone.Hosts))
+	return own+memory <= min(p.room(u), max(part, memory))
+}
+
 // farAnswer is what an upstream in another data centre than its entry host counts for, in parts of its places: less than
 // one of the few places of a plain service.
 const farAnswer = 0.12
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -157,19 +157,22 @@
 // maxLanes is how many lanes are kept before the idle ones are looked through.
 const maxLanes = 4096
 
-func (q *fairQueue) has(a core.AttemptID) bool { return q.where[a] != nil }
+// find returns the attempt if it waits here, and nil otherwise.
+func (q *fairQueue) find(a core.AttemptID) *waiting {
+	if l := q.where[a]; l != nil {
+		for _, w := range l.list {
+			if w.ask.Attempt == a {
+				return w
+			}
+		}
+	}
+	return nil
+}
 
 // remove takes an attempt out wherever it stands.
 func (q *fairQueue) remove(a core.AttemptID) {
-	l := q.where[a]
-	if l == nil {
-		return
-	}
-	for _, w := range l.list {
-		if w.ask.Attempt == a {
-			q.drop(w)
-			return
-		}
+	if w := q.find(a); w != nil {
+		q.drop(w)
 	}
 }
 
--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -33,6 +33,10 @@
 	p.arm(r)
 	r.ask.Left = min(r.ask.Left, max(0, r.Deadline.Sub(t.Now)))
 	r.ask.Waited = t.Now.Sub(r.arrived)
+	r.ask.Alone = nil
+	if r.solo && !r.plain {
+		r.ask.Alone = p.alone(r.pool)
+	}
 	t.Send(r.owner.host, r.ask)
 }
 
@@ -54,6 +58,17 @@
 	p.sendAsk(t, r)
 }
 
+// alone tells the own ledger what else it should count.
+func (p *part) alone(pool core.PoolID) *core.Alone {
+	beside := map[core.UpstreamID]core.Tokens{}
+	for _, r := range p.requests {
+		if r.pool == pool && !r.solo && (r.stage == stagePrefill || r.stage == stageDecode) {
+			beside[r.placed.Decode] += r.ask.Prompt + r.ask.Output
+		}
+	}
+	return &core.Alone{Hosts: max(1, p.hosts), Beside: beside}
+}
+
 // maxLeaving bounds the upstreams that are remembered as leaving; more than there can be at once only costs a refusal.
 const maxLeaving = 4096
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -22,13 +22,13 @@
 	rand   *rand.Rand
 	owners dispatch.Owners
 	// retries bounds the retries; hosts is the most entry hosts that were known at once, which share its burst.
-	retries  core.RetryBudget
-	hosts    int
-	tables   *core.Tables
-	until    time.Time
+	retries core.RetryBudget
+	hosts   int
+	tables  *core.Tables
+	until   time.Time
 	// started is when the host started; parked are the requests that wait for its first configuration.
-	started time.Time
-	parked  []core.RequestID
+	started  time.Time
+	parked   []core.RequestID
 	members  []core.Member
 	requests map[core.RequestID]*request
 	wakes    ordered.Heap[*request]
--- a/core/message.go
+++ b/core/message.go
@@ -239,6 +239,16 @@
 	Waited time.Duration `cbor:"waited"`
 	// Urgent attempts go on with an answer of which the caller has a part.
 	Urgent bool `cbor:"urgent"`
+	// Alone is set where a host asks its own ledger, which knows only a part of the load.
+	Alone *Alone `cbor:"-"`
+}
+
+// Alone is what a host that places by its own ledger knows of the rest of the load.
+type Alone struct {
+	// Hosts is how many entry hosts share the pool, this one among them.
+	Hosts int
+	// Beside is the memory that the host's attempts hold which another ledger placed, by upstream.
+	Beside map[UpstreamID]Tokens
 }
 
 // Placed tells where an attempt may run.
