--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 		p.asked(t, from, m)
 	case core.Claim:
 		p.claimed(t, from, m)
+	case core.Claims:
+		p.claims(t, from, m)
 	case core.PlaceDone:
 		p.done(t, from, m)
 	case core.Holding:
@@ -201,6 +203,8 @@
 		owner, ok := p.owners.Of(id, pl.engine == nil, p.members)
 		switch {
 		case !ok || owner.Host == p.self:
+		case p.local && t.Now.Sub(pl.asked) < auditEvery:
+			// Hosts to which the dispatcher is silent ask here.
 		case p.local:
 			p.giveUp(t, pl)
 		default:
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -31,6 +31,11 @@
 	return Owner(pool, members)
 }
 
+// Except returns the host that dispatches a pool of engines where some hosts do not answer.
+func (o Owners) Except(pool core.PoolID, members []core.Member, silent func(core.HostID) bool) (core.Member, bool) {
+	return ownerOf(pool, members, func(m *core.Member) bool { return m.Entry && !silent(m.Host) })
+}
+
 // Self returns the own host, as the one that places by its own ledger.
 func (o Owners) Self() core.Member { return core.Member{Host: o.self, Boot: o.boot} }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -13,6 +13,9 @@
 
 func (p *part) asked(t *core.Turn, from core.HostID, m core.PlaceAsk) {
 	pl := p.pool(t, m.Pool)
+	if !m.Service && m.Alone == nil {
+		p.gather(t, pl)
+	}
 	if h := pl.held[m.Attempt]; h != nil {
 		t.Send(from, h.placed)
 		return
@@ -43,7 +46,7 @@
 
 // serve places attempts until none finds room.
 func (p *part) serve(t *core.Turn, pl *pool) {
-	for p.placeNext(t, pl) {
+	for !pl.isGathering(t.Now) && p.placeNext(t, pl) {
 	}
 }
 
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -41,6 +41,10 @@
 	prefilling ordered.Heap[*upstream]
 	// prefixes lists the engines that lately got a prompt with a first block.
 	prefixes map[uint64][]core.UpstreamID
+	// asked is when this host was asked last, gathering the hosts whose claims are awaited until gathered.
+	asked     time.Time
+	gathering map[core.HostID]bool
+	gathered  time.Time
 	// empty is since when the pool has had no upstream at all.
 	empty time.Time
 	// engine is what the configuration says of the pool's engines, if anything; block is the unit of their memory.
--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"oleanderlever/core"
@@ -13,7 +14,7 @@
 		r.ask.DataCentre = p.place
 	}
 	r.stage = stagePlace
-	r.solo = p.owners.FallBack() && t.Now.Before(p.deaf)
+	r.solo = p.owners.FallBack() && p.isCutOff(t.Now)
 	if !p.places(r) {
 		p.listed[r.pool] = 0
 		if p.list.IsZero() {
@@ -50,14 +51,26 @@
 	return p.owners.FallBack() && !p.places(r) && r.owner.host != p.owners.Self().Host
 }
 
-// goSolo places a request by the own ledger, since the dispatcher did not answer.
-func (p *part) goSolo(t *core.Turn, r *request) {
-	t.Decide(core.Decision{Part: "entry", Choice: "solo", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
-	p.deaf = t.Now.Add(deafFor)
-	r.solo = true
+// passOver asks another host for a place, since the dispatcher did not answer: the next one in the order of the pool, which
+// is the same on every host, so that one ledger still has the pool. Where that one is silent too, the own ledger places.
+func (p *part) passOver(t *core.Turn, r *request) {
+	t.Decide(core.Decision{Part: "entry", Choice: "passOver", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
+	p.silent[r.owner.host] = t.Now.Add(silentFor)
+	r.solo = p.isCutOff(t.Now)
 	p.sendAsk(t, r)
 }
 
+// isCutOff reports whether so many dispatchers are silent that it is rather this host that is not heard.
+func (p *part) isCutOff(now time.Time) bool {
+	maps.DeleteFunc(p.silent, func(_ core.HostID, until time.Time) bool { return !now.Before(until) })
+	return len(p.silent) >= silentMost
+}
+
+func (p *part) isSilent(h core.HostID) bool {
+	_, ok := p.silent[h]
+	return ok
+}
+
 // alone tells the own ledger what else it should count.
 func (p *part) alone(pool core.PoolID) *core.Alone {
 	beside := map[core.UpstreamID]core.Tokens{}
@@ -87,16 +100,17 @@
 func (p *part) goRound(t *core.Turn, r *request, from core.HostID, m core.Placed) {
 	t.Decide(core.Decision{Part: "entry", Choice: "goRound", Reason: "the dispatcher does not know that the upstream leaves", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill + ">" + m.Decode)})
 	t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: m.Pool})
-	p.deaf = t.Now.Add(deafFor)
-	r.solo = true
+	p.silent[from] = t.Now.Add(silentFor)
+	r.solo = p.isCutOff(t.Now)
 	p.sendAsk(t, r)
 }
 
 // asked notes that the dispatcher has queued an attempt, so that it is asked again only later.
-func (p *part) asked(r *request, a core.AttemptID, now time.Time) {
-	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo {
+func (p *part) asked(t *core.Turn, from core.HostID, a core.AttemptID) {
+	r := p.requests[a.Request]
+	if r != nil && r.stage == stagePlace && r.attemptID() == a && !r.solo && from == r.owner.host {
 		r.queued = true
-		r.resend = now.Add(placeResend)
+		r.resend = t.Now.Add(placeResend)
 		p.arm(r)
 	}
 }
@@ -112,6 +126,9 @@
 
 func (p *part) dispatcher(pool core.PoolID, plain bool) owner {
 	m, _ := p.owners.Of(pool, plain, p.members)
+	if p.isSilent(m.Host) && p.owners.FallBack() {
+		m, _ = p.owners.Except(pool, p.members, p.isSilent)
+	}
 	return owner{host: m.Host, boot: m.Boot}
 }
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -15,8 +15,8 @@
 // traffic side its next step, so a request can't be answered twice or run on two paths.
 type part struct {
 	boot uint64
-	// deaf is until when no dispatcher is asked, since one did not answer.
-	deaf   time.Time
+	// silent are the dispatchers that did not answer, with until when they are not asked.
+	silent map[core.HostID]time.Time
 	place  core.DataCentre
 	limit  int
 	rand   *rand.Rand
@@ -63,6 +63,7 @@
 	p := &part{
 		boot: env.Boot, retryAll: retryAll, limit: env.Limits.Requests, tables: empty, rand: env.Rand,
 		place: env.DataCentre, owners: dispatch.OwnersFor(env), retries: env.Retries,
+		silent:   map[core.HostID]time.Time{},
 		requests: map[core.RequestID]*request{}, dones: map[doneKey]*pendingDone{}, budgets: map[core.PoolID]*budget{}, leaving: map[core.UpstreamID]bool{}, listed: map[core.PoolID]int{},
 	}
 	p.wakes = ordered.Heap[*request]{At: func(r *request) *int { return &r.wakeAt }, Less: earlierWake}
@@ -135,7 +136,9 @@
 	case core.PlaceRefused:
 		p.placeRefused(t, m)
 	case core.PlaceQueued:
-		p.asked(p.requests[m.Attempt.Request], m.Attempt, t.Now)
+		p.asked(t, from, m.Attempt)
+	case core.ClaimAsk:
+		p.tell(t, from, m.Pool)
 	case core.HoldingUnknown:
 		p.claimAll(t, from, m.Attempts)
 	case core.PlaceDoneReply:
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -36,6 +36,9 @@
 		to: r.owner, done: d, resend: t.Now.Add(doneResend), till: t.Now.Add(doneFor),
 	}
 	t.Send(r.owner.host, d)
+	for _, h := range r.told {
+		t.Send(h, d)
+	}
 }
 
 // ownersChanged asks a pool's new dispatcher again and claims the places of the attempts that run.
@@ -63,9 +66,26 @@
 
 // claim tells the dispatcher of an attempt that runs.
 func (p *part) claim(t *core.Turn, r *request) {
-	if r.stage == stagePrefill || r.stage == stageDecode || r.stage == stageCall {
-		t.Send(r.owner.host, core.Claim{Ask: r.ask, Placed: r.placed, Decoding: r.stage == stageDecode})
+	if r.runs() {
+		t.Send(r.owner.host, r.claim())
+	}
+}
+
+// tell gives a host that takes a pool over what this host runs there. Whoever dispatched it so far is told of their ends too,
+// since both may dispatch for a while.
+func (p *part) tell(t *core.Turn, to core.HostID, pool core.PoolID) {
+	out := core.Claims{Pool: pool}
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		r := p.requests[id]
+		if r.pool != pool || !r.runs() {
+			continue
+		}
+		out.Claims = append(out.Claims, r.claim())
+		if to != r.owner.host && !slices.Contains(r.told, to) {
+			r.told = append(r.told, to)
+		}
 	}
+	t.Send(to, out)
 }
 
 // claimAll tells a dispatcher of the attempts that it does not know. It takes over those that the own ledger placed.
@@ -175,7 +195,7 @@
 		return
 	}
 	if p.mayGoSolo(r) && !r.queued {
-		p.goSolo(t, r)
+		p.passOver(t, r)
 		return
 	}
 	p.sendAsk(t, r)
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -31,9 +31,11 @@
 	prefillSlack = 150 * time.Millisecond
 	tokenSilence = 2 * time.Second
 	placeResend  = 300 * time.Millisecond
-	// unheardAfter is how long a dispatcher may take to answer an ask at all; one that did not is left alone for deafFor.
+	// unheardAfter is how long a dispatcher may take to answer an ask at all; one that did not is left alone for silentFor.
 	unheardAfter = 100 * time.Millisecond
-	deafFor      = time.Second
+	silentFor    = time.Second
+	// silentMost dispatchers that do not answer are a sign that this host is cut off.
+	silentMost = 2
 	// noUpstreamWait is how long a request asks again although the dispatcher knows no upstream: a new dispatcher hears of
 	// them only with their next announcements, and one that was cut off of none.
 	noUpstreamWait = 6 * time.Second
@@ -46,6 +48,8 @@
 	stage   stage
 	once    core.OnceKey
 	charged bool
+	// told are other hosts that took the pool over meanwhile and know of the attempt.
+	told []core.HostID
 	// ask and placed are the attempt's words with the dispatcher; owner is who dispatches.
 	ask    core.PlaceAsk
 	placed core.Placed
@@ -97,11 +101,21 @@
 		Service: r.plain, Avoid: r.avoid, Left: r.patience(now), Urgent: r.relayed > 0,
 	}
 	r.placed = core.Placed{}
+	r.told = nil
 	r.resumes = 0
 	r.bare = false
 	r.first = 0
 }
 
+// runs reports whether an attempt is at an upstream.
+func (r *request) runs() bool {
+	return r.stage == stagePrefill || r.stage == stageDecode || r.stage == stageCall
+}
+
+func (r *request) claim() core.Claim {
+	return core.Claim{Ask: r.ask, Placed: r.placed, Decoding: r.stage == stageDecode}
+}
+
 // expected is how many tokens of engine memory the rest of the answer is expected to take. Guesses are off by as much
 // either way, and an engine holds several answers, so no more than the guess is reserved.
 func (r *request) expected() core.Tokens {
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -376,6 +377,49 @@
 	require.Len(t, done[core.RunDecode](d), 1)
 }
 
+// asked returns the hosts that were asked for a place for a request, in order and each once.
+func (d *desk) asked(id core.RequestID) []core.HostID {
+	var out []core.HostID
+	for _, m := range done[core.SendMessage](d) {
+		if a, ok := m.Message.(core.PlaceAsk); ok && a.Attempt.Request == id && !slices.Contains(out, m.To) {
+			out = append(out, m.To)
+		}
+	}
+	return out
+}
+
+// Where a dispatcher is silent the next host of the pool is asked, by every host the same; a host to which that one is silent
+// too is on its own.
+func TestNextHostDispatchesWhereOneIsSilent(t *testing.T) {
+	others := []core.HostID{"o1", "o2", "o3", "o4"}
+	d := newDesk(t, budget, others...)
+	d.ask("r", "/verse/1")
+	d.pass(250 * time.Millisecond)
+	silent := d.asked("r")
+	require.Len(t, silent, 2, "no own ledger of three")
+	require.Len(t, done[core.RunDecode](d), 1, "then the own one")
+	require.NotContains(t, silent, core.HostID("h"))
+
+	d = newDesk(t, budget, others...)
+	d.ask("r", "/verse/1")
+	d.pass(110 * time.Millisecond)
+	next := d.asked("r")[1]
+	a := core.AttemptID{Request: "r", Number: 1}
+	d.step(core.Received{From: next, Message: core.Placed{Attempt: a, Pool: "verse", Decode: "e2"}})
+	require.Equal(t, core.UpstreamID("e2"), done[core.RunDecode](d)[0].Instance)
+	d.step(core.Received{From: "o9", Message: core.ClaimAsk{Pool: "verse"}})
+	sent := done[core.SendMessage](d)
+	require.Len(t, sent[len(sent)-1].Message.(core.Claims).Claims, 1)
+	d.step(core.DecodeEnded{Attempt: a, Relayed: 3})
+	told := map[core.HostID]bool{}
+	for _, m := range done[core.SendMessage](d) {
+		if _, ok := m.Message.(core.PlaceDone); ok {
+			told[m.To] = true
+		}
+	}
+	require.Equal(t, map[core.HostID]bool{next: true, "o9": true}, told, "who took the pool over learns of the end too")
+}
+
 // A dispatcher that is cut off from the keepers may choose an upstream that has said that it leaves; the host that heard of
 // it does not follow.
 func TestLeavingUpstreamIsNotTakenFromADispatcher(t *testing.T) {
@@ -391,11 +435,12 @@
 		d.step(core.Received{From: "k", Message: core.UpstreamList{Heard: []core.HeardUpstream{{Announcement: leaving}}}})
 		a := core.AttemptID{Request: "r", Number: 1}
 		d.step(core.Received{From: other, Message: core.Placed{Attempt: a, Pool: "verse", Decode: "e2"}})
+		require.Contains(t, done[core.SendMessage](d), core.SendMessage{To: other, Message: core.PlaceDone{Attempt: a, Pool: "verse"}})
+		// The host takes the pool over, and waits for the claims of the other one.
+		d.pass(60 * time.Millisecond)
 		runs := done[core.RunDecode](d)
 		require.Len(t, runs, 1)
 		require.Equal(t, core.UpstreamID("e1"), runs[0].Instance)
-		sent := done[core.SendMessage](d)
-		require.Equal(t, core.SendMessage{To: other, Message: core.PlaceDone{Attempt: a, Pool: "verse"}}, sent[len(sent)-1])
 		return
 	}
 	require.Fail(t, "no other host won the pool")
--- a/core/message.go
+++ b/core/message.go
@@ -306,6 +306,17 @@
 	Decoding bool `cbor:"decoding"`
 }
 
+// ClaimAsk asks an entry host for what it runs in a pool, since the sender takes the pool over.
+type ClaimAsk struct {
+	Pool PoolID `cbor:"pool"`
+}
+
+// Claims answers a ClaimAsk with all that the host runs in the pool.
+type Claims struct {
+	Pool   PoolID  `cbor:"pool"`
+	Claims []Claim `cbor:"claims"`
+}
+
 // OrderWanted tells the leader of an engine that is not what it should be.
 type OrderWanted struct {
 	Announcement Announcement `cbor:"announcement"`
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -58,6 +58,8 @@
 	wire[core.ShiftWanted](34),
 	wire[core.UpstreamList](35),
 	wire[core.PlaceQueued](36),
+	wire[core.ClaimAsk](37),
+	wire[core.Claims](38),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -54,6 +54,8 @@
 	core.UpstreamNews{Announcement: &core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
 	core.Holding{Pool: "p", Attempts: []core.AttemptID{ask.Attempt}},
 	core.HoldingUnknown{Attempts: []core.AttemptID{ask.Attempt}},
+	core.ClaimAsk{Pool: "p"},
+	core.Claims{Pool: "p", Claims: []core.Claim{{Ask: ask, Decoding: true}}},
 	core.TakeOver{Epoch: 3},
 	core.ShiftWanted{Assignment: core.Assignment{Upstream: "u", Pool: "p", Role: core.RolePrefill}},
 	core.OrderWanted{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, Pieces: 1}},
