--- a/core/dispatch/gather_test.go
+++ b/core/dispatch/gather_test.go
@@ -69,7 +69,7 @@
 func TestHostThatIsAloneTakesItsPart(t *testing.T) {
 	alone := func(n int, beside core.Tokens) core.PlaceAsk {
 		return core.PlaceAsk{
-			Attempt: attempt(n), Boot: 1, Account: "a", Pool: pool, Weight: 1, Prompt: 4000, Output: 1000, Left: time.Minute,
+			Attempt: attempt(n), Boot: 1, Account: "a", Pool: pool, Weight: 1, Prompt: 3900, Output: 1000, Left: time.Minute,
 			Alone: &core.Alone{Hosts: 6, Beside: map[core.UpstreamID]core.Tokens{"u0": beside}},
 		}
 	}
