--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -46,7 +46,10 @@
 
 // serve places attempts until none finds room.
 func (p *part) serve(t *core.Turn, pl *pool) {
-	for !pl.isGathering(t.Now) && p.placeNext(t, pl) {
+	if pl.isGathering(t.Now) {
+		return
+	}
+	for p.placeNext(t, pl) {
 	}
 }
 
--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -34,6 +34,7 @@
 	// there are, which bounds how long.
 	since   time.Time
 	hosts   int
+	members []core.Member
 	tables  *core.Tables
 	changes []core.Change
 	// lent are the tables as hosts get them: nobody but the leader gives an operator's text back.
@@ -47,6 +48,21 @@
 	g.pending.Reset()
 	g.since = t.Now
 	clear(g.holders)
+	if e.Self {
+		g.hint(t)
+	}
+}
+
+// hint tells every host of this leader and its configuration. Hosts ask it at once, instead of the leader before, which may
+// still be there and cut off from the keepers only.
+func (g *grantor) hint(t *core.Turn) {
+	for i := range g.members {
+		t.Send(g.members[i].Host, core.LeaseHint{Version: g.tables.Version, Epoch: g.epoch})
+	}
+}
+
+func (g *grantor) membersChanged(members []core.Member) {
+	g.hosts, g.members = len(members), members
 }
 
 func (g *grantor) applied(t *core.Turn, e core.ConfigApplied) {
@@ -66,11 +82,8 @@
 	lent := *e.Tables
 	lent.Source = nil
 	g.lent = &lent
-	if !g.leading {
-		return
-	}
-	for _, h := range slices.Sorted(maps.Keys(g.holders)) {
-		t.Send(h, core.LeaseHint{Version: g.tables.Version})
+	if g.leading {
+		g.hint(t)
 	}
 }
 
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -113,6 +113,19 @@
 	h.keepers = keepers
 }
 
+// hinted asks a leader that is new or has news.
+func (h *holder) hinted(t *core.Turn, from core.HostID, m core.LeaseHint) {
+	if m.Epoch < h.epoch || (m.Epoch == h.epoch && m.Version <= h.tables.Version) {
+		return
+	}
+	if m.Epoch > h.epoch {
+		// Asks to the leader before say nothing about this one.
+		h.asks = nil
+	}
+	h.leader = from
+	h.ask(t)
+}
+
 func (h *holder) redirected(t *core.Turn, m core.LeaseRedirect) {
 	if m.Leader == "" || m.Leader == h.leader {
 		return
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -53,7 +53,7 @@
 	case core.LeaderChanged:
 		p.grantor.leaderChanged(t, e)
 	case core.MembersChanged:
-		p.grantor.hosts = len(e.Members)
+		p.grantor.membersChanged(e.Members)
 		p.holder.membersChanged(t, e.Members)
 	case core.ConfigApplied:
 		p.grantor.applied(t, e)
@@ -75,9 +75,7 @@
 	case core.LeaseRedirect:
 		p.holder.redirected(t, m)
 	case core.LeaseHint:
-		if m.Version > p.holder.tables.Version {
-			p.holder.ask(t)
-		}
+		p.holder.hinted(t, from, m)
 	case core.StatusAsk:
 		p.grantor.statusAsked(t, from, m)
 	case core.StatusReply:
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -15,7 +15,7 @@
 	"oleanderlever/core/replica"
 )
 
-// fleet is nine hosts whose configuration is watched.
+// fleet is some hosts whose configuration is watched.
 type fleet struct {
 	*harness.Run
 	t       *testing.T
@@ -25,7 +25,9 @@
 	version core.Version
 }
 
-func newFleet(t *testing.T, seed uint64) *fleet {
+func newFleet(t *testing.T, seed uint64) *fleet { return newGroup(t, seed, 9, 3) }
+
+func newGroup(t *testing.T, seed uint64, hosts, keepers int) *fleet {
 	f := &fleet{t: t, have: map[core.HostID]core.Version{}, until: map[core.HostID]time.Time{}}
 	watch := core.Plugin{Name: "watch", Rank: 99, New: func(env core.Env) core.Part {
 		f.have[env.Self] = 0
@@ -40,7 +42,7 @@
 		}}
 	}}
 	f.Run = harness.New(harness.Config{
-		Seed: seed, Hosts: 9, Keepers: 3, Loss: 0.02, Repeat: 0.02, MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond,
+		Seed: seed, Hosts: hosts, Keepers: keepers, Loss: 0.02, Repeat: 0.02, MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond,
 		SyncTime: time.Millisecond,
 		Plugins:  []core.Plugin{replica.Plugin(replica.Safety{}), config.Plugin(), lease.Plugin(), member.Plugin(), watch},
 	})
@@ -132,3 +134,49 @@
 	require.LessOrEqual(t, f.until[cut.ID].Sub(began), lease.Time)
 	require.True(t, f.Now.Before(f.until[f.Hosts[7].ID]))
 }
+
+// In a group of 60 hosts, where leases are renewed less often, a new leader's changes are in force as soon: also while the
+// old leader and some keepers, which other hosts still reach, are cut off from the rest. The bound is that of the users' large
+// deployments.
+func TestInForceAfterTheKeepersAreSplit(t *testing.T) {
+	const hosts, keepers, minority = 60, 9, 4
+	for seed := range uint64(4) {
+		f := newGroup(t, seed, hosts, keepers)
+		f.change(f.Hosts[hosts-1])
+		var leader core.HostID
+		ticket := f.op.AskStatus(f.Hosts[hosts-1])
+		require.True(t, f.Until(5*time.Second, func() bool { leader = f.op.Status[ticket].Status.Leader; return leader != "" }))
+		small := map[core.HostID]bool{leader: true}
+		var large []core.HostID
+		for _, h := range f.Hosts[:keepers] {
+			if len(small) < minority {
+				small[h.ID] = true
+			}
+			if !small[h.ID] {
+				large = append(large, h.ID)
+			}
+		}
+		keeper := map[core.HostID]bool{}
+		for _, h := range f.Hosts[:keepers] {
+			keeper[h.ID] = true
+		}
+		f.Cut = func(from, to core.HostID) bool { return keeper[from] && keeper[to] && small[from] != small[to] }
+		f.RunFor(1500 * time.Millisecond)
+		for _, h := range f.Hosts {
+			if h.ID == large[0] {
+				f.change(h)
+			}
+		}
+		behind := func() int {
+			n := 0
+			for _, h := range f.Hosts {
+				if f.have[h.ID] < f.version && !small[h.ID] {
+					n++
+				}
+			}
+			return n
+		}
+		f.RunFor(2500 * time.Millisecond)
+		require.Zero(t, behind(), "seed %d", seed)
+	}
+}
--- a/core/message.go
+++ b/core/message.go
@@ -130,9 +130,10 @@
 	Tables  *Tables  `cbor:"tables,omitempty"`
 }
 
-// LeaseHint tells a host that the configuration has changed, so that it asks at once.
+// LeaseHint tells a host that the sender leads by now or that the configuration has changed, so that it asks there at once.
 type LeaseHint struct {
 	Version Version `cbor:"version"`
+	Epoch   Epoch   `cbor:"epoch,omitempty"`
 }
 
 // LeaseRedirect tells a host whom to ask instead.
