--- a/io/host/frame.go
+++ b/io/host/frame.go
@@ -27,6 +27,12 @@
 	compressed = 1 << 31
 )
 
+// probe is a frame without a batch; who reads it answers with one byte.
+var (
+	probe  = make([]byte, lengthBytes)
+	answer = []byte{1}
+)
+
 // errStranger tells that the other end does not speak as a host does, or not with the hosts' secret.
 var errStranger = errors.New("the other end is no host")
 
@@ -105,13 +111,16 @@
 	return out, errors.Wrap(err, "decompress batch")
 }
 
-// readFrame reads one batch into a buffer, which it returns for the next one.
+// readFrame reads one batch into a buffer, which it returns for the next one; the batch of a probe is nil.
 func readFrame(br *bufio.Reader, buf []byte) (*Batch, []byte, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(br, length[:]); err != nil {
 		return nil, buf, err
 	}
 	word := binary.BigEndian.Uint32(length[:])
+	if word == 0 {
+		return nil, buf, nil
+	}
 	n := int(word &^ compressed)
 	if n > maxBatchBytes {
 		return nil, buf, errors.Newf("a batch of %d bytes; the limit is %d", n, maxBatchBytes)
--- a/io/host/frame_test.go
+++ b/io/host/frame_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -164,3 +165,28 @@
 	require.NoError(t, err)
 	s.expect(t, core.LeaseHint{Version: 1})
 }
+
+// "Open connections can go silent for good while new ones work": something between two hosts takes and acknowledges all bytes
+// and passes none on.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	a := newStation(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	accepted := make(chan struct{}, 10)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}()
+	to := l.Addr().(*net.TCPAddr).AddrPort()
+	require.Eventually(t, func() bool {
+		a.peer.Do(core.SendMessage{To: "b", Addr: to, Message: core.LeaseHint{Version: 1}})
+		return len(accepted) >= 2
+	}, 10*time.Second, 20*time.Millisecond)
+}
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -91,12 +91,25 @@
 			return err
 		}
 		buf = kept
-		if err := s.deliver(b); err != nil {
+		if b == nil {
+			err = answerProbe(conn)
+		} else {
+			err = s.deliver(b)
+		}
+		if err != nil {
 			return err
 		}
 	}
 }
 
+func answerProbe(conn net.Conn) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := conn.Write(answer)
+	return err
+}
+
 // deliver posts the messages of a batch. One that is not understood ends the connection; one for which the mailbox has no
 // room is lost, as any message may be.
 func (s *server) deliver(b *Batch) error {
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,16 @@
 	writeTimeout = 2 * time.Second
 	// redialPause is the least time between two attempts to open a connection.
 	redialPause = 50 * time.Millisecond
+	// probeEvery is how often a connection in use is probed: a round trip a second costs some hundred bytes. One whose probe
+	// goes unanswered for answerTimeout has fallen silent; that is the time after which the kernel gives up unacknowledged
+	// bytes too, and something between the two ends may acknowledge what it does not pass on.
+	probeEvery    = time.Second
+	answerTimeout = 700 * time.Millisecond
 )
 
+// errSilent tells that the other end does not answer although it takes what is sent.
+var errSilent = errors.New("the connection has fallen silent")
+
 // errPause tells that a connection was tried a moment ago.
 var errPause = errors.New("a connection was tried a moment ago")
 
@@ -53,6 +62,9 @@
 	// conn is nil while there is no connection; gone is closed when its other end closes it.
 	conn net.Conn
 	gone chan struct{}
+	// probed is when the latest probe was sent; answered is true once it was answered.
+	probed   time.Time
+	answered *atomic.Bool
 	// redial is when another connection may be opened.
 	redial time.Time
 	// lost is true from the first failure on, until a batch is delivered again.
@@ -160,11 +172,16 @@
 	l.conn, l.gone = nil, nil
 }
 
-// connect opens a connection and watches for its end. Nothing is ever read from it.
+// connect opens a connection, unless there is one that is not silent, and watches for its end. Nothing is ever read from it
+// but the answers to probes.
 func (l *link) connect() error {
-	if l.conn != nil {
+	if l.conn != nil && !l.isSilent() {
 		return nil
 	}
+	if l.conn != nil {
+		l.note(true, errSilent)
+		l.hangUp()
+	}
 	if time.Now().Before(l.redial) {
 		return errPause
 	}
@@ -178,16 +195,36 @@
 		secure.ServerName = l.addr.Addr().String()
 		conn = tls.Client(conn, secure)
 	}
-	gone := make(chan struct{})
+	gone, answered := make(chan struct{}), &atomic.Bool{}
+	answered.Store(true)
 	go func() {
 		defer close(gone)
-		_, _ = conn.Read(make([]byte, 1))
+		for buf := make([]byte, len(answer)); ; answered.Store(true) {
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+		}
 	}()
-	l.conn, l.gone = conn, gone
+	l.conn, l.gone, l.answered, l.probed = conn, gone, answered, time.Time{}
 	l.out = greet(l.t.secret)
 	return nil
 }
 
+// isSilent reports whether a probe has gone unanswered for too long.
+func (l *link) isSilent() bool {
+	return !l.answered.Load() && time.Since(l.probed) >= answerTimeout
+}
+
+// probe adds a probe to what is sent, now and then.
+func (l *link) probe(out []byte) []byte {
+	if !l.answered.Load() || time.Since(l.probed) < probeEvery {
+		return out
+	}
+	l.probed = time.Now()
+	l.answered.Store(false)
+	return append(out, probe...)
+}
+
 // flush delivers what is left, such as a host's goodbye.
 func (l *link) flush() {
 	select {
@@ -251,6 +288,7 @@
 	if err != nil {
 		return err
 	}
+	out = l.probe(out)
 	l.out = out
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
