--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -54,7 +54,7 @@
 	}
 	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log, Asker: control.NewAsker()}, drained: make(chan struct{})}
 	d.host.Env = core.Env{
-		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.Hosts, Boot: boot,
+		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.Reached(), Boot: boot,
 		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(), Retries: core.DefaultRetries(),
 		Entry: s.HasRole(settings.RoleEntry),
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -21,6 +21,8 @@
 	Role       core.Role
 	DataCentre core.DataCentre
 	Listen     netip.AddrPort
+	// Advertised is the address that the engine announces, if that is not the one at which it listens.
+	Advertised netip.AddrPort
 	// Hosts are the addresses at which hosts take announcements.
 	Hosts  []netip.AddrPort
 	Secret string
@@ -114,6 +116,12 @@
 
 func (p prompt) tokens() core.Tokens { return core.Tokens(len(p.text)/dispatch.BytesPerToken + 1) }
 
+// Seed returns what decides the answer to a caller's body, for Word.
+func Seed(body []byte) (uint64, error) {
+	p, err := parse(body, "")
+	return p.seed, err
+}
+
 // words are the vocabulary of the stand-in.
 var words = []string{"warm", "wishes", "bright", "harbour", "lemon", "morning", "gentle", "road", "jasmine", "star", "river", "bread", "olive", "song", "garden", "evening"}
 
--- a/io/engine/web.go
+++ b/io/engine/web.go
@@ -43,6 +43,9 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	if c.Advertised.IsValid() {
+		addr = c.Advertised
+	}
 	e := &Engine{config: c, kvs: map[string]*kv{}, streams: map[string]*stream{}, cache: map[uint64]time.Time{}}
 	w := &webServer{engine: e, listener: l, addr: addr, client: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
 	w.http = &fasthttp.Server{Handler: w.handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -21,6 +21,8 @@
 	Pool       core.PoolID
 	DataCentre core.DataCentre
 	Listen     netip.AddrPort
+	// Advertised is the address that the service announces, if that is not the one at which it listens.
+	Advertised netip.AddrPort
 	Hosts      []netip.AddrPort
 	Secret     string
 	Slots      int
@@ -73,11 +75,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	if c.Advertised.IsValid() {
+		addr = c.Advertised
+	}
 	s := &Service{config: c, listener: l, runs: map[string]int{}}
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
 	s.announcer = &upstream.Announcer{
 		Announcement: core.Announcement{
-			ID: c.ID, Pool: c.Pool, Role: core.RoleService, Addr: l.Addr().(*net.TCPAddr).AddrPort(),
+			ID: c.ID, Pool: c.Pool, Role: core.RoleService, Addr: addr,
 			DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixMilli()), Slots: c.Slots,
 		},
 		Hosts: c.Hosts, Secret: c.Secret,
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -124,11 +124,21 @@
 	Callers   netip.AddrPort `toml:"callers"`
 	Upstreams netip.AddrPort `toml:"upstreams"`
 	Hosts     netip.AddrPort `toml:"hosts"`
-	Operators netip.AddrPort `toml:"operators"`
+	// Advertised is where other hosts reach this one, if that is not the address at which it listens for them.
+	Advertised netip.AddrPort `toml:"advertised"`
+	Operators  netip.AddrPort `toml:"operators"`
 	// Metrics serves expvar; unset means that it is not served.
 	Metrics netip.AddrPort `toml:"metrics"`
 }
 
+// Reached returns where other hosts reach this one.
+func (l *Listen) Reached() netip.AddrPort {
+	if l.Advertised.IsValid() {
+		return l.Advertised
+	}
+	return l.Hosts
+}
+
 // Credentials let peers prove who they are.
 type Credentials struct {
 	// HostSecret is shared by all hosts.
