--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -76,11 +76,11 @@
 		}
 		f.Hosts = append(f.Hosts, h)
 		names = append(names, fmt.Sprintf("%q", h.Name))
-		seeds = append(seeds, fmt.Sprintf("%q", h.hosts.listener.Addr()))
+		seeds = append(seeds, fmt.Sprintf("%q", h.hosts.Addr()))
 	}
 	for n, h := range f.Hosts {
 		text := fmt.Sprintf(settingsText, h.Name, n%3+1, strings.Join(names, ", "), strings.Join(seeds, ", "), h.folder, placement,
-			h.callers.target, h.upstreams, h.hosts.target, h.hosts.listener.Addr(), h.operators, hostSecret, upSecret)
+			h.callers.target, h.upstreams, h.hosts.target, h.hosts.Addr(), h.operators, hostSecret, upSecret)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return f, errors.Wrap(err, "settings")
 		}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -62,6 +62,9 @@
 	return p, nil
 }
 
+// Addr returns where the proxy listens.
+func (p *Proxy) Addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
 func (p *Proxy) accept() {
 	for {
 		in, err := p.listener.Accept()
