--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -425,3 +425,27 @@
 	require.Empty(t, dones[len(dones)-1].Failed)
 	require.Contains(t, fmt.Sprintf("%T", last[len(last)-1]), "Refuse")
 }
+
+// "Transfers stall": an engine that takes a prompt and never answers costs the caller about a second, once it is known how long
+// prompts take.
+func TestOverduePrefillGoesElsewhere(t *testing.T) {
+	w := newWorld(t, net(1, 4))
+	w.engines(2, 2)
+	for range 20 {
+		w.ask(w.anyUp(), 5)
+		w.RunFor(100 * time.Millisecond)
+	}
+	w.RunFor(2 * time.Second)
+	w.Engines[0].Stall()
+	var asked []*harness.Exchange
+	for range 4 {
+		asked = append(asked, w.ask(w.anyUp(), 5))
+		w.RunFor(50 * time.Millisecond)
+	}
+	w.RunFor(3 * time.Second)
+	for _, x := range asked {
+		require.Equal(t, 1, x.Answers)
+		require.Nil(t, x.Failure)
+		require.Less(t, x.First.Sub(x.Arrived), 2*time.Second)
+	}
+}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -29,6 +29,9 @@
 	// overdue times the expected time and prefillSlack, a prefill is waited for that a decode engine can do as well.
 	overdue      = 3
 	prefillSlack = 150 * time.Millisecond
+	// prefillLeast is how long a prefill is waited for at least that has to be computed once more elsewhere: longer than the
+	// users' target for the first token, which is lost by then.
+	prefillLeast = time.Second
 	tokenSilence = 2 * time.Second
 	placeResend  = 300 * time.Millisecond
 	// unheardAfter is how long a dispatcher may take to answer an ask at all; one that did not is left alone for silentFor.
@@ -203,13 +206,17 @@
 	return r.route.Timeout
 }
 
-// prefillWait is how long the prefill may take. Where its decode engine can read the prompt as well, a prefill whose answer
-// is long overdue is given up, since it may never come.
+// prefillWait is how long the prefill may take: one whose answer is long overdue is given up, since it may never come. It is
+// soonest given up where its decode engine can read the prompt as well.
 func (r *request) prefillWait() time.Duration {
-	if !r.route.Stream || r.placed.Expect == 0 {
+	if r.placed.Expect == 0 {
 		return prefillTimeout
 	}
-	return min(prefillTimeout, overdue*r.placed.Expect+prefillSlack)
+	wait := min(prefillTimeout, overdue*r.placed.Expect+prefillSlack)
+	if !r.route.Stream {
+		wait = max(wait, prefillLeast)
+	}
+	return wait
 }
 
 // silence is how long an upstream of a stream may say nothing. One that can't go on elsewhere is better waited for.
