--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# The hub for building and checking; .ci/run calls "make check".
-.PHONY: all build test race lint fmt generate bench fuzz check demo
+# The hub for building and checking; .ci/run calls "make lint build" and the README's test command.
+.PHONY: all build test race lint fmt generate bench check demo soak
 
 all: check
 
@@ -31,5 +31,11 @@
 
 check: lint build race
 
+# Fifty fresh series of faults against the real processes; SEED is the first.
+SEED ?= 1000
+soak:
+	go build -o .bin/ ./cmd/...
+	.bin/soak --binary .bin/oleanderlever --first $(SEED) --seeds 50 --keep .bin
+
 demo:
 	go run ./cmd/oleanderlever demo
