--- a/core/dispatch/divide.go
+++ b/core/dispatch/divide.go
@@ -82,16 +82,30 @@
 	if p.work.samples < workSamples || now.Sub(p.load.shifted) < dividePause || changing >= max(1, all/changingPart) {
 		return core.Assignment{}, false
 	}
-	today := p.work.carries(have, all-have)
+	best := p.work.best(have, all)
+	if p.work.carries(best, all-best) <= divideGain*p.work.carries(have, all-have) {
+		return core.Assignment{}, false
+	}
 	switch {
-	case len(h.prefillers) > minEngines && p.work.carries(have-1, all-have+1) > divideGain*today:
+	case best < have && len(h.prefillers) > minEngines:
 		return p.reassign(idlest(h.prefillers), core.RoleDecode, now), true
-	case len(h.decoders) > minEngines && p.work.prefill > prefillFull*float64(have) && p.work.carries(have+1, all-have-1) > divideGain*today:
+	case best > have && len(h.decoders) > minEngines && p.work.prefill > prefillFull*float64(have):
 		return p.reassign(idlest(h.decoders), core.RolePrefill, now), true
 	}
 	return core.Assignment{}, false
 }
 
+// best returns how many prefill engines of all carry the most, the nearest to what there are now if several do.
+func (w *work) best(have, all int) int {
+	best := have
+	for n := minEngines; n <= all-minEngines; n++ {
+		if more := w.carries(n, all-n) - w.carries(best, all-best); more > 0 {
+			best = n
+		}
+	}
+	return best
+}
+
 // carries is how many times the work of late a division could carry.
 func (w *work) carries(prefillers, decoders int) float64 {
 	return min(prefillFull*float64(prefillers)/w.prefill, float64(decoders)/w.decode)
--- a/core/dispatch/divide_test.go
+++ b/core/dispatch/divide_test.go
@@ -90,11 +90,12 @@
 		prefillers, decoders int
 		to                   core.Role
 	}{
-		"long answers, many prefill engines": {stream{100 * time.Millisecond, 100 * time.Millisecond, 4 * time.Second}, 5, 7, core.RoleDecode},
-		"fewer engines than before":          {stream{100 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second}, 4, 3, core.RoleDecode},
-		"balanced":                           {stream{100 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second}, 3, 8, ""},
-		"long prompts, short answers":        {stream{100 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond}, 3, 6, core.RolePrefill},
-		"the least of each":                  {stream{200 * time.Millisecond, 50 * time.Millisecond, 4 * time.Second}, 2, 4, ""},
+		"long answers, many prefill engines":            {stream{100 * time.Millisecond, 100 * time.Millisecond, 4 * time.Second}, 5, 7, core.RoleDecode},
+		"fewer engines than before":                     {stream{100 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second}, 4, 3, core.RoleDecode},
+		"balanced":                                      {stream{100 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second}, 3, 8, ""},
+		"long prompts, short answers":                   {stream{100 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond}, 3, 6, core.RolePrefill},
+		"a large pool, where one engine changes little": {stream{20 * time.Millisecond, 100 * time.Millisecond, 4 * time.Second}, 14, 26, core.RoleDecode},
+		"the least of each":                             {stream{200 * time.Millisecond, 50 * time.Millisecond, 4 * time.Second}, 2, 4, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := sizedDesk(c.prefillers, c.decoders, entryHost)
