--- a/core/plugin.go
+++ b/core/plugin.go
@@ -116,6 +116,8 @@
 type QuotaPolicy struct {
 	// Advance is how many tokens all hosts together may spend before they are lent.
 	Advance Tokens
+	// Opening is how many tokens a new lender has to lend at once, though it can't know what is left of an earlier one's.
+	Opening Tokens
 	// StaleShare is the part of the rate that all hosts together may spend while the lender is silent.
 	StaleShare float64
 }
--- a/core/quota/advance.go
+++ b/core/quota/advance.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"oleanderlever/core"
@@ -68,11 +69,40 @@
 	// What the debt falls below zero by is a store for requests larger than the advance, of a second's allowance at most.
 	a.debt = max(a.debt, -core.Tokens(rate))
 	h.serve(t, a)
+	h.drawLots(t, a)
 	for i := range a.waiters {
 		a.waiters[i].hurry(t.Now)
 	}
 }
 
+// drawLots serves some of the requests that take more than this host's part of the rate ever brings: among many hosts each part
+// is smaller than one large request. A request stakes what the host has gathered and wins its whole cost with the chance that
+// makes the mean right, so over all hosts the rate is spent, give or take the root of the number of winners.
+func (h *holder) drawLots(t *core.Turn, a *account) {
+	most := h.policy.Advance / core.Tokens(h.hosts)
+	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return !w.drawn && h.draws(t, a, &w, most) })
+	for i := range a.waiters {
+		a.waiters[i].drawn = a.waiters[i].drawn || a.waiters[i].cost > most
+	}
+}
+
+func (h *holder) draws(t *core.Turn, a *account, w *waiter, most core.Tokens) bool {
+	stake := most - a.debt + a.atHand()
+	if w.cost <= most || stake <= 0 {
+		return false
+	}
+	a.debt = most
+	if rest := a.atHand(); rest > 0 {
+		a.take(rest, h.epoch)
+	}
+	if h.rand.Float64() >= float64(stake)/float64(w.cost) {
+		return false
+	}
+	a.taken += w.cost
+	t.Post(core.QuotaTaken{Request: w.request})
+	return true
+}
+
 // note logs when the owner falls silent and when it is heard again.
 func (h *holder) note(t *core.Turn, silent bool) {
 	if silent == h.silent {
--- a/core/quota/advance_test.go
+++ b/core/quota/advance_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -96,3 +97,47 @@
 		require.LessOrEqual(t, excess, float64(advance)+staleShare*float64(rate)*4, "seed %d at %v", seed, at)
 	}
 }
+
+// Among many hosts each one's part of the rate is smaller than a large request. While the lender is silent such requests are
+// served all the same, and over all hosts no more than the part of the rate that may be spent without it.
+func TestLotsServeLargeRequests(t *testing.T) {
+	const cost = core.Tokens(400)
+	for seed := range uint64(5) {
+		f := spending(seed)
+		f.RunFor(2 * time.Second)
+		f.Cut = func(_, to core.HostID) bool { return to == f.Hosts[0].ID || to == f.Hosts[1].ID || to == f.Hosts[2].ID }
+		began, had := f.Now, len(f.charges)
+		for range 800 {
+			f.want(f.Hosts[3+f.Rand.IntN(6)], cost)
+			f.RunFor(25 * time.Millisecond)
+		}
+		served := len(f.charges) - had
+		span := f.Now.Sub(began).Seconds()
+		part := staleShare * float64(rate) * 6 / 9
+		mean := part * span / float64(cost)
+		require.Greater(t, float64(served), mean/2, "seed %d", seed)
+		// Four standard deviations above what the part, the advance and what was lent before come to.
+		most := (part*(span+1) + float64(burst) + float64(advance)) / float64(cost)
+		require.LessOrEqual(t, float64(served), most+4*math.Sqrt(most), "seed %d", seed)
+	}
+}
+
+// A new lender lends its opening at once, and that much more than the rate may be spent at each change of the leader.
+func TestNewLenderHasSomethingToLend(t *testing.T) {
+	const opening = core.Tokens(200)
+	for seed := range uint64(5) {
+		c := nine(seed)
+		c.Adjust = func(env *core.Env) { env.Quota = core.QuotaPolicy{Opening: opening} }
+		f := newFleet(c, false)
+		f.RunFor(2 * time.Second)
+		for range 3 {
+			f.crashLeader()
+			for range 200 {
+				f.want(f.Hosts[3+f.Rand.IntN(6)], 20)
+				f.RunFor(20 * time.Millisecond)
+			}
+		}
+		excess, at := f.worstExcess(1)
+		require.LessOrEqual(t, excess, 3*float64(opening), "seed %d at %v", seed, at)
+	}
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -36,8 +37,9 @@
 	request core.RequestID
 	cost    core.Tokens
 	till    time.Time
-	// denied is true once the owner said that the bucket is empty.
+	// denied is true once the owner said that the bucket is empty, drawn once lots were drawn for it.
 	denied bool
+	drawn  bool
 }
 
 // hurry lets a request wait no longer than one of an account without tokens, since nobody lends any.
@@ -80,6 +82,7 @@
 	oldest uint64
 	next   time.Time
 	policy core.QuotaPolicy
+	rand   *rand.Rand
 	// hosts is the most entry hosts that were known at once, which share what may be spent without a loan.
 	hosts int
 	// silent is true while the owner does not answer, or lends nothing yet.
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -61,6 +61,7 @@
 type owner struct {
 	// relend is a fault for tests: a new owner lends at once, and as if nothing were lent.
 	relend  bool
+	opening core.Tokens
 	leading bool
 	epoch   core.Epoch
 	// opens is when the last amount that an earlier owner lent has run out.
@@ -132,12 +133,12 @@
 	o.buckets[a.ID] = &bucket{level: float64(a.Burst), filled: t.Now, known: o.opens}
 }
 
-// bucketOf returns an account's bucket, filled up to now; a new one starts empty, since what an earlier owner lent
-// may just have been spent.
+// bucketOf returns an account's bucket, filled up to now; a new one starts empty but for the opening, since what an earlier
+// owner lent may just have been spent.
 func (o *owner) bucketOf(now time.Time, a core.Account) *bucket {
 	b := o.buckets[a.ID]
 	if b == nil {
-		b = &bucket{filled: o.opens, known: o.opens.Add(knownAfter * waitFor(a.Burst, a.Rate))}
+		b = &bucket{level: float64(o.opening), filled: o.opens, known: o.opens.Add(knownAfter * waitFor(a.Burst, a.Rate))}
 		if o.relend {
 			b.level = float64(a.Burst)
 		}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -24,10 +24,10 @@
 	empty := &core.Tables{}
 	p := &part{
 		holder: holder{
-			boot: env.Boot, tables: empty, policy: env.Quota, hosts: 1,
+			boot: env.Boot, tables: empty, policy: env.Quota, hosts: 1, rand: env.Rand,
 			accounts: map[core.AccountID]*account{}, asks: map[uint64]time.Time{},
 		},
-		owner: owner{relend: relend, tables: empty, pending: core.Pending[ownerAsk]{Mark: core.MarkQuota}},
+		owner: owner{relend: relend, opening: env.Quota.Opening, tables: empty, pending: core.Pending[ownerAsk]{Mark: core.MarkQuota}},
 	}
 	return core.Part{Handle: p.handle, NextDeadline: p.nextDeadline, Gauges: p.gauges}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -91,6 +91,9 @@
 	// advancePart is the part of the quota's slack that hosts spend before they are lent. The rest is for what a new lender
 	// can't know of the one before.
 	advancePart = 2
+	// openingPart is the part of the slack that a new lender has at once: three leaders in a row stay within the half that the
+	// advance leaves.
+	openingPart = 6
 	// staleShare is the part of the rates that hosts spend while the lender is silent to them; it may not be silent to others.
 	staleShare = 0.5
 )
@@ -107,6 +110,7 @@
 	}
 	env.ServeStale = s.ServeStale
 	env.Quota.Advance = core.Tokens(s.Quota.Slack / advancePart)
+	env.Quota.Opening = core.Tokens(s.Quota.Slack / openingPart)
 	if s.ServeStale {
 		env.Quota.StaleShare = staleShare
 	}
