--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -56,6 +56,8 @@
 func (p *part) passOver(t *core.Turn, r *request) {
 	t.Decide(core.Decision{Part: "entry", Choice: "passOver", Reason: "the dispatcher does not answer", Request: r.ID, Attempt: r.ask.Attempt.Number, Pool: r.pool, Target: string(r.owner.host)})
 	p.silent[r.owner.host] = t.Now.Add(silentFor)
+	// It may only be slow, and would reserve a place that nobody takes.
+	t.Send(r.owner.host, core.PlaceDone{Attempt: r.attemptID(), Pool: r.pool})
 	r.solo = p.isCutOff(t.Now)
 	p.sendAsk(t, r)
 }
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -403,8 +403,10 @@
 	d = newDesk(t, budget, others...)
 	d.ask("r", "/verse/1")
 	d.pass(110 * time.Millisecond)
-	next := d.asked("r")[1]
+	first, next := d.asked("r")[0], d.asked("r")[1]
 	a := core.AttemptID{Request: "r", Number: 1}
+	require.Contains(t, done[core.SendMessage](d), core.SendMessage{To: first, Message: core.PlaceDone{Attempt: a, Pool: "verse"}}, "it may only be slow")
+	d.did = nil
 	d.step(core.Received{From: next, Message: core.Placed{Attempt: a, Pool: "verse", Decode: "e2"}})
 	require.Equal(t, core.UpstreamID("e2"), done[core.RunDecode](d)[0].Instance)
 	d.step(core.Received{From: "o9", Message: core.ClaimAsk{Pool: "verse"}})
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -184,6 +184,7 @@
 		// The engine is what it should be only once it says so; until then the order is not repeated.
 		w.ordered = false
 		w.after = t.Now.Add(settleTime)
+		p.next = t.Now
 		return
 	}
 	t.Decide(core.Decision{Part: "order", Choice: "failure", Reason: e.Failure.Error(), Target: string(e.Upstream)})
