--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -30,10 +30,9 @@
 	leading bool
 	leader  core.HostID
 	epoch   core.Epoch
-	// since is when this host took over; leases of the leader before it may run for a while after that. hosts is how many
-	// there are, which bounds how long.
+	// since is when this host took over; leases of the leader before it may run for a while after that. How many members
+	// there are bounds how long.
 	since   time.Time
-	hosts   int
 	members []core.Member
 	tables  *core.Tables
 	changes []core.Change
@@ -61,10 +60,6 @@
 	}
 }
 
-func (g *grantor) membersChanged(members []core.Member) {
-	g.hosts, g.members = len(members), members
-}
-
 func (g *grantor) applied(t *core.Turn, e core.ConfigApplied) {
 	switch e.Change.Kind {
 	case 0:
@@ -106,7 +101,7 @@
 }
 
 func (g *grantor) grant(t *core.Turn, w waiting) {
-	lease, renew := terms(max(g.hosts, len(g.holders)))
+	lease, renew := terms(max(len(g.members), len(g.holders)))
 	m := core.LeaseGrant{For: lease, Renew: renew, Ask: w.ask.Ask, Leader: g.self, Epoch: g.epoch, Version: g.tables.Version}
 	behind := g.tables.Version - w.ask.Have
 	switch {
@@ -123,7 +118,7 @@
 
 // inForce returns the version that every host which may act on a lease has.
 func (g *grantor) inForce(now time.Time) core.Version {
-	if older, _ := terms(2 * g.hosts); now.Sub(g.since) < older {
+	if older, _ := terms(2 * len(g.members)); now.Sub(g.since) < older {
 		return 0
 	}
 	v := g.tables.Version
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -53,7 +53,7 @@
 	case core.LeaderChanged:
 		p.grantor.leaderChanged(t, e)
 	case core.MembersChanged:
-		p.grantor.membersChanged(e.Members)
+		p.grantor.members = e.Members
 		p.holder.membersChanged(t, e.Members)
 	case core.ConfigApplied:
 		p.grantor.applied(t, e)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -68,16 +68,7 @@
 	var all sync.WaitGroup
 	every := func(pause time.Duration, call func(rng *rand.Rand, n int)) {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
-		all.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(time.Duration(own.ExpFloat64() * float64(pause))):
-				}
-				call(own, n)
-			}
-		})
+		all.Go(func() { s.repeat(stop, own, pause, func(n int) { call(own, n) }) })
 	}
 	for range 4 {
 		every(streamPause, s.streamOnce)
