--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 		{1, 4 * time.Second, "a first look at every kind of check"},
 		{107, 10 * time.Second, "a silent connection to the dispatcher, whose bytes the proxy went on to acknowledge"},
 		{145, 10 * time.Second, "a silent connection to a keeper while the leader lost its disk: no leader any more"},
+		{150, 10 * time.Second, "silent connections to two hosts, one after the other"},
 	} {
 		t.Run(fmt.Sprintf("seed %d: %s", c.seed, c.cause), func(t *testing.T) {
 			t.Parallel()
