--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -62,12 +62,13 @@
 	engines []*engine.Engine
 	service *service.Service
 	links   []*Proxy
+	ip      netip.Addr
 	used    map[netip.AddrPort]bool
 }
 
 // startFleet starts so many hosts, every one of them entry and keeper, and their stand-ins.
 func startFleet(binary, folder string, hosts int, placement string) (*Fleet, error) {
-	f := &Fleet{binary: binary, folder: folder, used: map[netip.AddrPort]bool{}}
+	f := &Fleet{binary: binary, folder: folder, ip: loopbackIP(), used: map[netip.AddrPort]bool{}}
 	var names, seeds []string
 	for n := range hosts {
 		h, err := f.newHost(n)
@@ -131,18 +132,25 @@
 	return h, err
 }
 
-// Ports are below those that the kernel gives to outgoing connections, so that a host finds its own free after a restart.
+// Each fleet has a loopback address of its own, so that several may run at once. Ports are below those that the kernel gives to
+// outgoing connections, so that a host finds its own free after a restart.
 const (
 	firstPort = 10_000
 	lastPort  = 30_000
 	portTries = 100
 )
 
+// loopbackIP draws one of the loopback addresses beside 127.0.0.1.
+func loopbackIP() netip.Addr {
+	const most = 254
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(most)), byte(1 + rand.IntN(most)), byte(1 + rand.IntN(most))})
+}
+
 // freeAddr returns a loopback address at which nothing listens.
 func (f *Fleet) freeAddr() (netip.AddrPort, error) {
 	var err error
 	for range portTries {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		addr := netip.AddrPortFrom(f.ip, uint16(firstPort+rand.IntN(lastPort-firstPort)))
 		if f.used[addr] {
 			continue
 		}
