--- /dev/null
+++ b/cmd/soak/doc.go
@@ -0,0 +1,2 @@
+// Command soak plays seeded series of faults against the real host processes.
+package main
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,4 +1,3 @@
-// Command soak plays seeded series of faults against the real host processes.
 package main
 
 import (
