--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,7 +56,9 @@
 	}
 	if o.Keep != "" {
 		kept := filepath.Join(o.Keep, fmt.Sprint("seed-", seed))
-		if err := os.Rename(folder, kept); err == nil {
+		if err := os.Rename(folder, kept); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		} else {
 			folder = kept
 		}
 	}
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -56,13 +56,14 @@
 		return
 	}
 	if u := pl.upstreams[m.Failed]; u != nil {
+		reason := "the upstream failed an attempt"
 		if m.Moved {
-			u.moved = true
+			u.moved, reason = true, "the upstream is another one, or does something else, than it said"
 		} else {
 			u.failed(t.Now)
 		}
 		pl.refresh(u, t.Now, p.tables.Policy(pl.id))
-		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: "the upstream failed an attempt", Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
+		t.Decide(core.Decision{Part: "dispatch", Choice: "failure", Reason: reason, Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: m.Pool, Target: string(m.Failed), Score: float64(u.failures)})
 	}
 	if m.PrefillOnly {
 		pl.prefilled(h, t.Now)
--- a/core/dispatch/gather.go
+++ b/core/dispatch/gather.go
@@ -37,8 +37,8 @@
 }
 
 // isGathering reports whether claims may still come that the next placements must count.
-func (pl *pool) isGathering(now time.Time) bool {
-	return len(pl.gathering) > 0 && now.Before(pl.gathered)
+func (p *pool) isGathering(now time.Time) bool {
+	return len(p.gathering) > 0 && now.Before(p.gathered)
 }
 
 // claims takes over all that an entry host runs in a pool.
--- a/core/entry/ask.go
+++ b/core/entry/ask.go
@@ -28,7 +28,7 @@
 	r.owner = p.ownerOf(r)
 	r.queued = false
 	r.resend = t.Now.Add(placeResend)
-	if p.mayGoSolo(r) {
+	if p.mayPassOver(r) {
 		r.resend = t.Now.Add(unheardAfter)
 	}
 	p.arm(r)
@@ -46,8 +46,8 @@
 	return p.owners.FallBack() && (r.solo || r.plain)
 }
 
-// mayGoSolo reports whether a request's place comes from a dispatcher that this host can do without.
-func (p *part) mayGoSolo(r *request) bool {
+// mayPassOver reports whether a request's place comes from a dispatcher that this host can do without.
+func (p *part) mayPassOver(r *request) bool {
 	return p.owners.FallBack() && !p.places(r) && r.owner.host != p.owners.Self().Host
 }
 
@@ -62,7 +62,8 @@
 	p.sendAsk(t, r)
 }
 
-// isCutOff reports whether so many dispatchers are silent that it is rather this host that is not heard.
+// isCutOff reports whether so many dispatchers are silent that it is rather this host that is not heard. It forgets those whose
+// time is over, so that they are asked again.
 func (p *part) isCutOff(now time.Time) bool {
 	maps.DeleteFunc(p.silent, func(_ core.HostID, until time.Time) bool { return !now.Before(until) })
 	return len(p.silent) >= silentMost
@@ -98,7 +99,7 @@
 	p.leaving[e.ID] = true
 }
 
-// goRound gives back a place at an upstream that leaves, and places the request by the own ledger.
+// goRound gives back a place at an upstream that leaves, and asks another host than the dispatcher that chose it.
 func (p *part) goRound(t *core.Turn, r *request, from core.HostID, m core.Placed) {
 	t.Decide(core.Decision{Part: "entry", Choice: "goRound", Reason: "the dispatcher does not know that the upstream leaves", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill + ">" + m.Decode)})
 	t.Send(from, core.PlaceDone{Attempt: m.Attempt, Pool: m.Pool})
--- a/core/entry/owners.go
+++ b/core/entry/owners.go
@@ -194,7 +194,7 @@
 		p.stopWaiting(t, r, f)
 		return
 	}
-	if p.mayGoSolo(r) && !r.queued {
+	if p.mayPassOver(r) && !r.queued {
 		p.passOver(t, r)
 		return
 	}
--- a/core/quota/advance.go
+++ b/core/quota/advance.go
@@ -19,19 +19,27 @@
 
 // advance spends tokens that are yet to be lent, so that a small request need not wait for the owner.
 func (h *holder) advance(a *account, cost core.Tokens) bool {
-	most := h.policy.Advance / core.Tokens(h.hosts)
-	if hand := a.atHand(); a.debt+cost-hand > most {
+	hand := a.atHand()
+	if a.debt+cost-hand > h.mostDebt() {
 		return false
 	}
-	a.debt += cost - a.atHand()
-	if rest := a.atHand(); rest > 0 {
-		a.take(rest, h.epoch)
-		cost -= rest
-	}
-	a.taken += cost
+	a.borrow(cost, h.epoch)
+	a.taken += cost - hand
 	return true
 }
 
+// mostDebt is this host's part of the advance.
+func (h *holder) mostDebt() core.Tokens { return h.policy.Advance / core.Tokens(h.hosts) }
+
+// borrow spends what is at hand and owes the rest.
+func (a *account) borrow(cost core.Tokens, owner core.Epoch) {
+	hand := a.atHand()
+	a.debt += cost - hand
+	if hand > 0 {
+		a.take(hand, owner)
+	}
+}
+
 // repay settles the debt with what was lent and returns the rest.
 func (a *account) repay(lent core.Tokens) core.Tokens {
 	a.debt = max(0, a.debt)
@@ -79,22 +87,19 @@
 // is smaller than one large request. A request stakes what the host has gathered and wins its whole cost with the chance that
 // makes the mean right, so over all hosts the rate is spent, give or take the root of the number of winners.
 func (h *holder) drawLots(t *core.Turn, a *account) {
-	most := h.policy.Advance / core.Tokens(h.hosts)
-	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return !w.drawn && h.draws(t, a, &w, most) })
+	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return !w.drawn && h.draws(t, a, &w) })
 	for i := range a.waiters {
-		a.waiters[i].drawn = a.waiters[i].drawn || a.waiters[i].cost > most
+		a.waiters[i].drawn = a.waiters[i].drawn || a.waiters[i].cost > h.mostDebt()
 	}
 }
 
-func (h *holder) draws(t *core.Turn, a *account, w *waiter, most core.Tokens) bool {
-	stake := most - a.debt + a.atHand()
-	if w.cost <= most || stake <= 0 {
+// draws stakes everything that the host may spend for one request and reports whether it won.
+func (h *holder) draws(t *core.Turn, a *account, w *waiter) bool {
+	stake := h.mostDebt() - a.debt + a.atHand()
+	if w.cost <= h.mostDebt() || stake <= 0 {
 		return false
 	}
-	a.debt = most
-	if rest := a.atHand(); rest > 0 {
-		a.take(rest, h.epoch)
-	}
+	a.borrow(stake, h.epoch)
 	if h.rand.Float64() >= float64(stake)/float64(w.cost) {
 		return false
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -49,7 +49,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	// up is closed when the process has ended.
+	// ended is closed when the process has ended.
 	ended chan struct{}
 }
 
