io/daemon: addresses for tests that nothing else can take

Cause: TestProcesses failed once, with no change accepted for a minute. Its hosts got ports that the kernel had given to a listener and taken back, so two hosts could get the same one, and any outgoing connection or another test process could take one before the host listened there or while it restarted. A host whose port is in use exits, and the other two wait for it before they form the replica set. Ruled out: a status request without an answer (it fails after 5 s and is repeated), elections beside load. Change: FreeAddr gives each process its own loopback address and each port, below the ephemeral range, once. The soak had the same in a copy of its own, which goes. TestProcesses prints the hosts' logs when it fails.

--- a/cmd/oleanderlever/main_test.go
+++ b/cmd/oleanderlever/main_test.go
@@ -31,7 +31,7 @@
 
 // host is a host process of the system.
 type host struct {
-	name, settings, dataDir                 string
+	name, settings, dataDir, log            string
 	callers, upstreams, hosts, operatorAddr netip.AddrPort
 	process                                 *exec.Cmd
 }
@@ -83,21 +83,36 @@
 hostSecret = "a secret of the hosts"
 upstreamSecret = "a secret of the upstreams"
 `, h.name, n+1, strings.Join(seeds, ", "), h.dataDir, h.callers, h.upstreams, h.hosts, h.operatorAddr)
-		h.settings = filepath.Join(t.TempDir(), "settings.toml")
+		h.settings, h.log = filepath.Join(t.TempDir(), "settings.toml"), filepath.Join(t.TempDir(), "log")
 		require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 		s.start(h)
 	}
 	t.Cleanup(func() {
 		for _, h := range s.hosts {
 			s.kill(h)
+			if t.Failed() {
+				s.printLog(h)
+			}
 		}
 	})
 	return s
 }
 
 func (s *system) start(h *host) {
+	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(s.t, err)
 	h.process = exec.Command(s.binary, "host", "--settings", h.settings)
+	h.process.Stdout, h.process.Stderr = log, log
 	require.NoError(s.t, h.process.Start())
+	require.NoError(s.t, log.Close())
+}
+
+// printLog prints the last lines of a host's log, of all its starts.
+func (s *system) printLog(h *host) {
+	const maxBytes = 16 << 10
+	log, err := os.ReadFile(h.log)
+	require.NoError(s.t, err)
+	s.t.Logf("log of %s:\n%s", h.name, log[max(0, len(log)-maxBytes):])
 }
 
 // kill ends a process immediately, even if it is paused by SIGSTOP.
--- a/cmd/oleanderlever/settings_test.go
+++ b/cmd/oleanderlever/settings_test.go
@@ -63,7 +63,7 @@
 	path := filepath.Join(t.TempDir(), "host.toml")
 	hosts, control, metrics := freeAddr(t), freeAddr(t), freeAddr(t)
 	write := func(seeds string) {
-		text := fmt.Sprintf(`host = "127.0.0.1"
+		text := fmt.Sprintf(`host = "%v"
 dataCentre = "a"
 roles = ["keeper"]
 dataFolder = %q
@@ -76,7 +76,7 @@
 metrics = %q
 [platform]
 control = %q
-`, filepath.Join(filepath.Dir(path), "data"), seeds, hosts, metrics, control)
+`, hosts.Addr(), filepath.Join(filepath.Dir(path), "data"), seeds, hosts, metrics, control)
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	}
 	write(fmt.Sprintf("%q", hosts))
--- a/io/daemon/loopback.go
+++ b/io/daemon/loopback.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"path/filepath"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"oleanderlever/io/settings"
@@ -70,16 +68,6 @@
 	return s, nil
 }
 
-// FreeAddr returns a loopback address with a port that is currently unused.
-func FreeAddr() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find an unused port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 // UpstreamAddrs returns the addresses at which the hosts receive announcements.
 func (l *Loopback) UpstreamAddrs() []netip.AddrPort {
 	var out []netip.AddrPort
--- a/io/daemon/tls_test.go
+++ b/io/daemon/tls_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"oleanderlever/io/daemon"
 	"oleanderlever/io/operator"
 	"oleanderlever/io/settings"
 )
@@ -29,9 +30,11 @@
 	path string
 }
 
-func template(name string, serial int64) *x509.Certificate {
+func template(t *testing.T, name string, serial int64) *x509.Certificate {
+	addr, err := daemon.FreeAddr()
+	require.NoError(t, err)
 	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{addr.Addr().AsSlice()},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
@@ -47,7 +50,7 @@
 func newAuthority(t *testing.T, dir string) *certificateAuthority {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
-	c := template("authority", 1)
+	c := template(t, "authority", 1)
 	c.IsCA, c.BasicConstraintsValid, c.KeyUsage = true, true, x509.KeyUsageCertSign
 	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
 	require.NoError(t, err)
@@ -59,7 +62,7 @@
 func (a *certificateAuthority) issue(t *testing.T, dir, name string) settings.TLS {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
-	der, err := x509.CreateCertificate(rand.Reader, template(name, 2), a.cert, &key.PublicKey, a.key)
+	der, err := x509.CreateCertificate(rand.Reader, template(t, name, 2), a.cert, &key.PublicKey, a.key)
 	require.NoError(t, err)
 	private, err := x509.MarshalECPrivateKey(key)
 	require.NoError(t, err)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderlever/core"
+	"oleanderlever/io/daemon"
 	"oleanderlever/io/engine"
 	"oleanderlever/io/operator"
 	"oleanderlever/io/service"
@@ -55,20 +55,18 @@
 
 // Fleet holds the host processes, proxies and stand-ins of one soak run.
 type Fleet struct {
-	binary    string
-	dir       string
-	Hosts     []*Host
-	engines   []*engine.Engine
-	service   *service.Service
-	proxies   []*Proxy
-	ip        netip.Addr
-	usedAddrs map[netip.AddrPort]bool
+	binary  string
+	dir     string
+	Hosts   []*Host
+	engines []*engine.Engine
+	service *service.Service
+	proxies []*Proxy
 }
 
 // startFleet starts the given number of hosts, each an entry host and a replica, and the stand-ins. After an error the
 // returned fleet still has to be closed.
 func startFleet(binary, dir string, hosts int, placement string) (*Fleet, error) {
-	f := &Fleet{binary: binary, dir: dir, ip: randomLoopbackIP(), usedAddrs: map[netip.AddrPort]bool{}}
+	f := &Fleet{binary: binary, dir: dir}
 	var names, seeds []string
 	for n := range hosts {
 		h, err := f.newHost(n)
@@ -121,7 +119,9 @@
 	}
 	var addrs [6]netip.AddrPort
 	for i := range addrs {
-		addrs[i] = f.freeAddr()
+		if addrs[i], err = daemon.FreeAddr(); err != nil {
+			return nil, err
+		}
 	}
 	h.callersAddr, h.upstreamsAddr, h.operatorsAddr = addrs[0], addrs[2], addrs[3]
 	if h.callersProxy, err = f.addProxy(addrs[0], addrs[1]); err != nil {
@@ -131,33 +131,6 @@
 	return h, err
 }
 
-// Each fleet has its own loopback address, so that several can run at the same time. The ports are below the ephemeral
-// range of the kernel, so that no outgoing connection takes the port of a host while the host restarts.
-const (
-	firstPort = 10_000
-	lastPort  = 30_000
-)
-
-// randomLoopbackIP returns a random loopback address other than 127.0.0.1.
-func randomLoopbackIP() netip.Addr {
-	const maxOctet = 254
-	return netip.AddrFrom4([4]byte{
-		127, byte(1 + rand.IntN(maxOctet)), byte(1 + rand.IntN(maxOctet)), byte(1 + rand.IntN(maxOctet)),
-	})
-}
-
-// freeAddr returns a random address that the fleet doesn't use yet. It doesn't try to listen there: a process that is
-// being started at the same time would keep the closed listener open for a moment.
-func (f *Fleet) freeAddr() netip.AddrPort {
-	for {
-		addr := netip.AddrPortFrom(f.ip, uint16(firstPort+rand.IntN(lastPort-firstPort)))
-		if !f.usedAddrs[addr] {
-			f.usedAddrs[addr] = true
-			return addr
-		}
-	}
-}
-
 func (f *Fleet) addProxy(listen, target netip.AddrPort) (*Proxy, error) {
 	p, err := NewProxy(listen, target)
 	if err == nil {
@@ -199,7 +172,12 @@
 // addUpstreamProxy starts the proxy of a stand-in. It returns the address that the stand-in advertises, where the proxy
 // listens, and the address where the stand-in must listen.
 func (f *Fleet) addUpstreamProxy() (advertised, listen netip.AddrPort, err error) {
-	advertised, listen = f.freeAddr(), f.freeAddr()
+	if advertised, err = daemon.FreeAddr(); err != nil {
+		return advertised, listen, err
+	}
+	if listen, err = daemon.FreeAddr(); err != nil {
+		return advertised, listen, err
+	}
 	_, err = f.addProxy(advertised, listen)
 	return advertised, listen, err
 }
