io/http1, io/upstream, io/host, platform: remote ends that send without end

Cause: bytes that are no message may come for ever. Events of many short lines, bodies of 16 and 64 MiB a response, and frames of an announced 64 MiB had no limit for the host as a whole; a decode stream that dripped bytes or repeated its last token kept its time limit open for ever; chunk extensions were read without end; bytes after the end of a stream could keep a connection open. Change: io/http1 reads headers, bodies with trailers and events within limits, and all bodies of a host count against one budget. io/upstream uses io/links instead of fasthttp's client, so both front ends have one way to call upstreams, and extends the time for the next token only by a token. Frames between hosts are buffered as they arrive and have a time limit.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -9,6 +9,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/control"
+	"oleanderlever/io/http1"
 	"oleanderlever/io/upstream"
 )
 
@@ -43,11 +44,14 @@
 	promptTokens    core.Tokens
 	finishReason    string
 	streamWriter    *io.PipeWriter
+	// memory holds the bodies of the request and of a plain service's response.
+	memory *http1.MemoryLease
 }
 
 // run executes the core's instructions until the request ends.
 func (x *exchange) run() {
 	defer close(x.ended)
+	defer x.memory.Release()
 	for a := range x.controlSide.Instructions {
 		switch a := a.(type) {
 		case core.RunPrefill:
@@ -119,7 +123,7 @@
 
 func (x *exchange) callService(a core.RunCall) {
 	x.serviceResponse = fasthttp.AcquireResponse()
-	f := x.client.Call(a.Addr, a.Attempt, x.serviceRequest, x.serviceResponse, a.Timeout, a.NewConnection)
+	f := x.client.Call(a.Addr, a.Attempt, x.serviceRequest, x.serviceResponse, a.Timeout, a.NewConnection, x.memory)
 	ended := core.CallEnded{Attempt: a.Attempt, Failure: f}
 	if f == nil {
 		ended.Response = storedResponse(x.serviceResponse)
@@ -182,9 +186,9 @@
 	}
 }
 
-func newExchange(id core.RequestID, loop *control.Loop, client *upstream.Client) *exchange {
+func newExchange(id core.RequestID, loop *control.Loop, client *upstream.Client, memory *http1.MemoryLease) *exchange {
 	return &exchange{
-		id: id, loop: loop, client: client, encoder: responseEncoder{id: id, created: time.Now()},
+		id: id, loop: loop, client: client, memory: memory, encoder: responseEncoder{id: id, created: time.Now()},
 		controlSide: control.NewExchange(), response: make(chan response, 1), ended: make(chan struct{}),
 	}
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +10,7 @@
 	"oleanderlever/core"
 	"oleanderlever/core/entry"
 	"oleanderlever/io/clock"
+	"oleanderlever/io/http1"
 	"oleanderlever/io/socket"
 	"oleanderlever/io/upstream"
 )
@@ -98,19 +98,19 @@
 }
 
 // newRequest reads the parts that all requests have. It returns the request, its body and the API key.
-func (s *server) newRequest(ctx *fasthttp.RequestCtx) (core.Request, []byte, string, *core.Failure) {
+func (s *server) newRequest(ctx *fasthttp.RequestCtx, memory *http1.MemoryLease) (core.Request, []byte, string, *core.Failure) {
 	key, hasKey := bearerKey(&ctx.Request.Header)
 	r := core.Request{ID: s.newID(), HasKey: hasKey, Deadline: clock.Now().Add(s.settings.Requests.Timeout.Duration)}
 	if hasKey {
 		r.KeyHash = hashKey(key)
 	}
-	body, f := s.readBody(ctx)
+	body, f := s.readBody(ctx, memory)
 	return r, body, key, f
 }
 
 // readBody reads the body up to the limit. fasthttp drains the rest, so that the next request on the connection is read
 // from its start.
-func (s *server) readBody(ctx *fasthttp.RequestCtx) ([]byte, *core.Failure) {
+func (s *server) readBody(ctx *fasthttp.RequestCtx, memory *http1.MemoryLease) ([]byte, *core.Failure) {
 	limit := s.settings.Requests.MaxBodyBytes
 	if n := ctx.Request.Header.ContentLength(); n > limit {
 		return nil, core.Fail(core.KindBodyTooLarge, "the body is %d bytes long; the limit is %d", n, limit)
@@ -119,19 +119,28 @@
 	if stream == nil {
 		return append([]byte(nil), ctx.PostBody()...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
+	body, err := http1.ReadAll(stream, limit, memory)
+	switch {
+	case errors.Is(err, http1.ErrTooLong):
+		return nil, core.Fail(core.KindBodyTooLarge, "the body is longer than %d bytes", limit)
+	case errors.Is(err, http1.ErrNoMemory):
+		return nil, &core.Failure{Kind: core.KindOverloaded, Message: err.Error(), NotExecuted: true}
+	case err != nil:
 		ctx.SetConnectionClose()
 		return nil, core.Fail(core.KindBadRequest, "the body could not be read: %v", err)
 	}
-	if len(body) > limit {
-		return nil, core.Fail(core.KindBodyTooLarge, "the body is longer than %d bytes", limit)
-	}
 	return body, nil
 }
 
+// refuse responds with a failure to a request that is not started, and releases its memory.
+func refuse(ctx *fasthttp.RequestCtx, id core.RequestID, memory *http1.MemoryLease, f *core.Failure) {
+	memory.Release()
+	writeError(ctx, id, f)
+}
+
 func (s *server) modelRequest(ctx *fasthttp.RequestCtx, chat bool) {
-	r, body, key, f := s.newRequest(ctx)
+	memory := s.client.NewLease()
+	r, body, key, f := s.newRequest(ctx, memory)
 	if f == nil && !ctx.IsPost() {
 		f = core.Fail(core.KindBadRequest, "the method must be POST")
 	}
@@ -143,24 +152,25 @@
 		m, f = parseModel(chat, body, &r)
 	}
 	if f != nil {
-		writeError(ctx, r.ID, f)
+		refuse(ctx, r.ID, memory, f)
 		return
 	}
-	x := newExchange(r.ID, s.loop, s.client)
+	x := newExchange(r.ID, s.loop, s.client, memory)
 	x.model, x.body = &m, body
 	x.encoder.model, x.encoder.chat = r.Model, chat
 	s.respond(ctx, x, r)
 }
 
 func (s *server) serviceRequest(ctx *fasthttp.RequestCtx) {
-	r, body, key, f := s.newRequest(ctx)
-	x := newExchange(r.ID, s.loop, s.client)
+	memory := s.client.NewLease()
+	r, body, key, f := s.newRequest(ctx, memory)
+	x := newExchange(r.ID, s.loop, s.client, memory)
 	x.serviceRequest = fasthttp.AcquireRequest()
 	if f == nil {
 		f = buildServiceRequest(&ctx.Request, key, body, x.serviceRequest)
 	}
 	if f != nil {
-		writeError(ctx, r.ID, f)
+		refuse(ctx, r.ID, memory, f)
 		return
 	}
 	x.serviceRequest.Header.Set(upstream.HeaderRequestID, string(r.ID))
@@ -168,7 +178,7 @@
 	r.IdempotencyKey = string(ctx.Request.Header.Peek(headerIdempotencyKey))
 	r.ContentHash = contentHash(&ctx.Request, body)
 	if f := validateIdempotencyKey(r.IdempotencyKey); f != nil {
-		writeError(ctx, r.ID, f)
+		refuse(ctx, r.ID, memory, f)
 		return
 	}
 	s.respond(ctx, x, r)
@@ -191,7 +201,7 @@
 		disconnected = c.Disconnected
 	}
 	if !s.start(x, r, disconnected) {
-		writeError(ctx, x.id, core.Fail(core.KindOverloaded, "the host is overloaded"))
+		refuse(ctx, x.id, x.memory, core.Fail(core.KindOverloaded, "the host is overloaded"))
 		return
 	}
 	resp := <-x.response
--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -53,7 +53,7 @@
 		return control.Instance{}, errors.Wrap(err, "listen.callers")
 	}
 	s := &server{
-		loop: h.Loop, client: upstream.NewClient(h.Settings.Credentials.UpstreamSecret), settings: h.Settings, log: h.Log,
+		loop: h.Loop, client: upstream.NewClient(h.Settings.Credentials.UpstreamSecret, h.Bodies), settings: h.Settings, log: h.Log,
 		bootID: newBootID(h.Settings.Host), exchanges: control.NewExchanges(),
 	}
 	s.state.Store(&core.PublishState{Config: &core.Config{}})
--- a/io/control/peer.go
+++ b/io/control/peer.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderlever/core"
+	"oleanderlever/io/http1"
 	"oleanderlever/io/settings"
 )
 
@@ -19,6 +20,8 @@
 	Log      zerolog.Logger
 	// Requester sends requests to the kernel and waits for their responses.
 	Requester *Requester
+	// Bodies limits the bodies of requests and responses that all peers keep in memory.
+	Bodies *http1.MemoryBudget
 	// Env is the environment for the new kernel; peers of low rank set some of its fields.
 	Env core.Env
 }
--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -98,7 +98,7 @@
 func BenchmarkModel(b *testing.B) {
 	loopback, e, _, key := startFastSystem(b, 1)
 	b.Run("direct", func(b *testing.B) {
-		c := upstream.NewClient("")
+		c := upstream.NewClient("", nil)
 		for n := range b.N {
 			a := core.AttemptID{Request: "bench", Number: n}
 			request := body("bench", false)
@@ -161,7 +161,7 @@
 
 // streamDirectly reads one stream from the stand-in and returns the number of tokens.
 func streamDirectly(e *engine.Engine, n int, maxTokens core.Tokens) (int, error) {
-	c := upstream.NewClient("")
+	c := upstream.NewClient("", nil)
 	a := core.AttemptID{Request: "relay", Number: n}
 	p, f := c.Prefill(e.Addr(), &upstream.PrefillRequest{Attempt: a.String(), Body: body("relay", true)}, testTimeout)
 	if f != nil {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/clock"
 	"oleanderlever/io/control"
+	"oleanderlever/io/http1"
 	"oleanderlever/io/settings"
 
 	// These packages register the kernel's plug-ins and the peers in their init functions.
@@ -52,7 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{host: &control.Host{Settings: s, Loop: control.NewLoop(), Log: log, Requester: control.NewRequester()}, drained: make(chan struct{})}
+	d := &Daemon{host: &control.Host{
+		Settings: s, Loop: control.NewLoop(), Log: log, Requester: control.NewRequester(), Bodies: newBodyBudget(s.MemoryMB),
+	}, drained: make(chan struct{})}
 	d.host.Env = core.Env{
 		Self: core.HostID(s.Host), DataCentre: core.DataCentre(s.DataCentre), Addr: s.Listen.PeerAddr(), Boot: boot,
 		Seeds: s.Seeds, Rand: rng, Limits: core.DefaultLimits(), RetryBudget: core.DefaultRetryBudget(),
@@ -101,6 +104,23 @@
 	fallbackRateShare = 0.5
 )
 
+const (
+	megabyte = 1 << 20
+	// bodyMemoryRatio is the part of the host's memory that bodies in transit may take. The heap may grow to twice what is
+	// in use before a garbage collection.
+	bodyMemoryRatio = 0.1
+	// defaultBodyMemory in bytes applies to a host whose settings do not tell its memory.
+	defaultBodyMemory = 256 * megabyte
+)
+
+// newBodyBudget returns the budget for the bodies of a host with memoryMB megabytes of memory; zero means unknown.
+func newBodyBudget(memoryMB int64) *http1.MemoryBudget {
+	if memoryMB == 0 {
+		return http1.NewMemoryBudget(defaultBodyMemory)
+	}
+	return http1.NewMemoryBudget(int64(bodyMemoryRatio * float64(memoryMB*megabyte)))
+}
+
 var placementModes = map[settings.Placement]core.PlacementMode{
 	settings.PlacementPool: core.PlacementPerPool, settings.PlacementHost: core.PlacementPerHost,
 	settings.PlacementMixed: core.PlacementMixed,
--- /dev/null
+++ b/io/faulty/doc.go
@@ -0,0 +1,2 @@
+// Package faulty has responses of HTTP/1.1 servers that never end, for tests of clients.
+package faulty
--- a/io/host/frame.go
+++ b/io/host/frame.go
@@ -112,35 +112,43 @@
 	return out, errors.Wrap(err, "decompress batch")
 }
 
-// readFrame reads one frame and returns its batch, or nil for a probe. It reads into buf and returns the buffer, which
-// may have been replaced by a larger one, for the next call.
-func readFrame(br *bufio.Reader, buf []byte) (*Batch, []byte, error) {
+// readLength waits for the next frame and returns the length in its header.
+func readLength(br *bufio.Reader) (uint32, error) {
 	var length [lengthBytes]byte
-	if _, err := io.ReadFull(br, length[:]); err != nil {
-		return nil, buf, err
-	}
-	header := binary.BigEndian.Uint32(length[:])
+	_, err := io.ReadFull(br, length[:])
+	return binary.BigEndian.Uint32(length[:]), err
+}
+
+// readFrame reads the rest of a frame and returns its batch, or nil for a probe. buf is reused for the next call; it
+// grows as the bytes arrive, since the announced length may be false.
+func readFrame(br *bufio.Reader, header uint32, buf *bytes.Buffer) (*Batch, error) {
 	if header == 0 {
-		return nil, buf, nil
+		return nil, nil
 	}
-	n := int(header &^ compressedFlag)
+	n := int64(header &^ compressedFlag)
 	if n > maxBatchBytes {
-		return nil, buf, errors.Newf("batch has %d bytes; the limit is %d", n, maxBatchBytes)
-	}
-	if cap(buf) < n {
-		buf = make([]byte, n)
+		return nil, errors.Newf("batch has %d bytes; the limit is %d", n, maxBatchBytes)
 	}
-	if _, err := io.ReadFull(br, buf[:n]); err != nil {
-		return nil, buf, errors.Wrap(err, "read batch")
+	buf.Reset()
+	if _, err := io.CopyN(buf, br, n); err != nil {
+		return nil, errors.Wrap(noEOF(err), "read batch")
 	}
-	body := buf[:n]
+	body := buf.Bytes()
 	if header&compressedFlag != 0 {
 		inflated, err := decompress(body)
 		if err != nil {
-			return nil, buf, err
+			return nil, err
 		}
 		body = inflated
 	}
 	b := &Batch{}
-	return b, buf, errors.Wrap(proto.Unmarshal(body, b), "decode batch")
+	return b, errors.Wrap(proto.Unmarshal(body, b), "decode batch")
+}
+
+// noEOF converts the end of the connection within a frame to an error.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
--- a/io/host/frame_test.go
+++ b/io/host/frame_test.go
@@ -16,6 +16,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/control"
+	"oleanderlever/io/daemon"
 	"oleanderlever/io/host"
 	"oleanderlever/io/settings"
 )
@@ -29,11 +30,10 @@
 
 const secret = "sixteen bytes or more"
 
-func newTestHost(t *testing.T) *testHost {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newTestHost(t testing.TB) *testHost {
+	addr, err := daemon.FreeAddr()
 	require.NoError(t, err)
-	s := &testHost{addr: l.Addr().(*net.TCPAddr).AddrPort(), received: make(chan core.MessageReceived, 100)}
-	require.NoError(t, l.Close())
+	s := &testHost{addr: addr, received: make(chan core.MessageReceived, 100)}
 	var peer control.Peer
 	for _, p := range control.Peers() {
 		if p.Name == "host" {
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -18,6 +19,9 @@
 // greetingTimeout limits how long a new connection may take to send its greeting.
 const greetingTimeout = 5 * time.Second
 
+// frameTimeout limits how long a frame may take from its header to its end.
+const frameTimeout = 10 * time.Second
+
 // server receives the batches of other hosts.
 type server struct {
 	loop   *control.Loop
@@ -81,16 +85,22 @@
 	if err := readGreeting(br, s.secret); err != nil {
 		return err
 	}
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		return err
-	}
-	var buf []byte
+	var buf bytes.Buffer
 	for {
-		b, grown, err := readFrame(br, buf)
+		if err := conn.SetReadDeadline(time.Time{}); err != nil {
+			return err
+		}
+		header, err := readLength(br)
+		if err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+			return err
+		}
+		b, err := readFrame(br, header, &buf)
 		if err != nil {
 			return err
 		}
-		buf = grown
 		if b == nil {
 			err = respondToProbe(conn)
 		} else {
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http/httputil"
 
@@ -9,18 +10,88 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Body returns a reader of the body that follows a response header. If the length is known, the reader returns
-// io.ErrUnexpectedEOF for a body that ends early.
-func Body(br *bufio.Reader, h *fasthttp.ResponseHeader) io.Reader {
-	switch n := h.ContentLength(); {
-	case n >= 0:
-		return &exactReader{r: br, remaining: n}
-	case n == -1:
-		return httputil.NewChunkedReader(br)
+const (
+	// maxInterimResponses limits the 1xx responses before a final one.
+	maxInterimResponses = 8
+	// maxTrailerBytes limits the trailer of a chunked body.
+	maxTrailerBytes = 4096
+	// firstReadBytes is the size of the first buffer of a body of unknown length, maxFirstReadBytes that of any body. The
+	// buffer doubles as bytes arrive, since the announced length may be false.
+	firstReadBytes    = 4096
+	maxFirstReadBytes = 64 << 10
+	// chunkedLength is fasthttp's content length of a chunked body; below it, a body ends with its connection.
+	chunkedLength = -1
+)
+
+// ReadResponseHeader reads the header of a final response and skips interim ones. The size of the reader's buffer limits
+// each header.
+func ReadResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := h.Read(br); err != nil {
+			return errors.Wrap(err, "read header")
+		}
+		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	rejected.Add("interimResponses", 1)
+	return errors.Newf("more than %d interim responses", maxInterimResponses)
+}
+
+// Body returns a reader of the body that follows a header, including its trailer. contentLength is that of fasthttp's
+// header. If the end is marked, the reader returns io.ErrUnexpectedEOF for a body that ends early.
+func Body(br *bufio.Reader, contentLength int) io.Reader {
+	switch {
+	case contentLength >= 0:
+		return &exactReader{r: br, remaining: contentLength}
+	case contentLength == chunkedLength:
+		return &chunkedReader{buffered: br, chunks: httputil.NewChunkedReader(br)}
 	}
 	return br
 }
 
+// ReadBody reads a complete body of at most limit bytes, which count against the lease.
+func ReadBody(br *bufio.Reader, contentLength, limit int, lease *MemoryLease) ([]byte, error) {
+	if contentLength > limit {
+		return nil, tooLong("body", limit)
+	}
+	if contentLength < 0 {
+		return ReadAll(Body(br, contentLength), limit, lease)
+	}
+	return readAll(Body(br, contentLength), min(contentLength+1, maxFirstReadBytes), contentLength, lease)
+}
+
+// ReadAll reads at most limit bytes up to io.EOF, which count against the lease.
+func ReadAll(r io.Reader, limit int, lease *MemoryLease) ([]byte, error) {
+	return readAll(r, firstReadBytes, limit, lease)
+}
+
+// readAll implements ReadAll with a first buffer of the given size.
+func readAll(r io.Reader, firstSize, limit int, lease *MemoryLease) ([]byte, error) {
+	var out []byte
+	for {
+		if len(out) == cap(out) {
+			// One byte more than the limit has room for the end, or for a byte too many.
+			grown := min(max(firstSize, 2*cap(out)), limit+1)
+			// The old buffer counts on: it is in memory until the next garbage collection.
+			if err := lease.grow(grown); err != nil {
+				return nil, err
+			}
+			out = append(make([]byte, 0, grown), out...)
+		}
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+		switch {
+		case len(out) > limit:
+			return nil, tooLong("body", limit)
+		case errors.Is(err, io.EOF):
+			return out, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // exactReader reads a body of known length and returns io.ErrUnexpectedEOF if it ends early.
 type exactReader struct {
 	r         io.Reader
@@ -39,3 +110,42 @@
 	}
 	return n, err
 }
+
+// chunkedReader reads a chunked body and its trailer, so that the connection is at the start of the next message.
+type chunkedReader struct {
+	buffered *bufio.Reader
+	chunks   io.Reader
+	// end is the result of all reads after the last chunk.
+	end error
+}
+
+// Read reads from the chunks. After the last one it skips the trailer and returns io.EOF.
+func (c *chunkedReader) Read(b []byte) (int, error) {
+	if c.end != nil {
+		return 0, c.end
+	}
+	n, err := c.chunks.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.skipTrailer()
+	}
+	c.end = err
+	return n, err
+}
+
+func (c *chunkedReader) skipTrailer() error {
+	for total := 0; total <= maxTrailerBytes; {
+		line, err := c.buffered.ReadSlice('\n')
+		total += len(line)
+		switch {
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case errors.Is(err, bufio.ErrBufferFull):
+			return tooLong("trailer", maxTrailerBytes)
+		case err != nil:
+			return err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return io.EOF
+		}
+	}
+	return tooLong("trailer", maxTrailerBytes)
+}
--- a/io/http1/events.go
+++ b/io/http1/events.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// maxEventBytes limits the size of an event. Next checks it only while it reads a line that is longer than its
-	// buffer.
-	maxEventBytes   = 1 << 20
+	// maxEventBytes limits the size of an event, in whatever number of lines.
+	maxEventBytes   = 64 << 10
 	eventBufferSize = 4096
 )
 
@@ -35,7 +34,9 @@
 		line, err := e.buffered.ReadSlice('\n')
 		e.event = append(e.event, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.event) < maxEventBytes:
+		case len(e.event) > maxEventBytes:
+			return nil, tooLong("event", maxEventBytes)
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(e.event) == 0:
 			return nil, io.EOF
@@ -50,6 +51,16 @@
 	}
 }
 
+// HasData reports whether an event has a data line. Comments and empty events have none.
+func HasData(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, dataLine)
+}
+
+var (
+	dataField = []byte("data:")
+	dataLine  = []byte("\ndata:")
+)
+
 // EventID returns the number in an event's id line, and false if there is none.
 func EventID(event []byte) (uint64, bool) {
 	for line := range bytes.Lines(event) {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -52,7 +52,7 @@
 	br := bufio.NewReader(strings.NewReader(header + "\r\n" + body))
 	var h fasthttp.ResponseHeader
 	require.NoError(t, h.Read(br))
-	events := http1.NewEventReader(http1.Body(br, &h))
+	events := http1.NewEventReader(http1.Body(br, h.ContentLength()))
 	var out []string
 	for {
 		e, err := events.Next()
@@ -115,3 +115,106 @@
 		require.False(t, strings.Contains(lower, "\r\ncontent-length:") && strings.Contains(lower, "\r\ntransfer-encoding:"))
 	})
 }
+
+// A chunked body is read with its trailer, so that the next response on the connection starts where it should. Anything
+// that goes on beyond its limit is an error.
+func TestBodyEndsWithItsTrailer(t *testing.T) {
+	const limit = 10_000
+	long := strings.Repeat("a", limit+1)
+	for _, c := range []struct {
+		name, text    string
+		contentLength int
+		want, rest    string
+		complete      bool
+	}{
+		{"chunked", "3\r\nabc\r\n0\r\n\r\nnext", -1, "abc", "next", true},
+		{"trailer", "3\r\nabc\r\n0\r\nX-A: b\r\n\r\nnext", -1, "abc", "next", true},
+		{"end within the trailer", "3\r\nabc\r\n0\r\nX-A: b\r\n", -1, "", "", false},
+		{"long trailer", "0\r\n" + strings.Repeat("X-A: b\r\n", limit), -1, "", "", false},
+		{"long trailer line", "0\r\nX-A: " + long, -1, "", "", false},
+		{"long chunk extension", "3;a=" + long, -1, "", "", false},
+		{"chunks beyond the limit", strings.Repeat("1\r\na\r\n", limit+1) + "0\r\n\r\n", -1, "", "", false},
+		{"length", "abcnext", 3, "abc", "next", true},
+		{"length beyond the limit", long, limit + 1, "", "", false},
+		{"length not reached", "ab", 3, "", "", false},
+		{"empty", "next", 0, "", "next", true},
+		{"until the end", "abc", -2, "abc", "", true},
+		{"until the end, beyond the limit", long, -2, "", "", false},
+		{"at the limit", long[1:], -2, long[1:], "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, read := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.OneByteReader} {
+				br := bufio.NewReader(read(strings.NewReader(c.text)))
+				body, err := http1.ReadBody(br, c.contentLength, limit, http1.NewMemoryBudget(1<<20).Lease())
+				require.Equal(t, c.complete, err == nil, "%v", err)
+				if !c.complete {
+					continue
+				}
+				require.Equal(t, c.want, string(body))
+				rest, err := io.ReadAll(br)
+				require.NoError(t, err)
+				require.Equal(t, c.rest, string(rest))
+			}
+		})
+	}
+}
+
+// An event of many short lines must not grow without limit.
+func TestEventSizeIsLimited(t *testing.T) {
+	for _, line := range []string{"data: a\n", ":\n", strings.Repeat("a", 5000)} {
+		events := http1.NewEventReader(strings.NewReader(strings.Repeat(line, 1<<20/len(line))))
+		_, err := events.Next()
+		require.ErrorIs(t, err, http1.ErrTooLong)
+	}
+}
+
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	const interim, final = "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	for n, ok := range map[int]bool{0: true, 1: true, 8: true, 9: false, 10_000: false} {
+		var h fasthttp.ResponseHeader
+		err := http1.ReadResponseHeader(bufio.NewReader(strings.NewReader(strings.Repeat(interim, n)+final)), &h)
+		require.Equal(t, ok, err == nil, "%d interim responses: %v", n, err)
+		if ok {
+			require.Equal(t, 404, h.StatusCode())
+		}
+	}
+}
+
+// A body is never longer than its limit, never takes more memory than its budget, and no input makes the reader fail in
+// another way than by an error.
+func FuzzBody(f *testing.F) {
+	const limit, budget = 100, 10_000
+	f.Add([]byte("3\r\nabc\r\n0\r\nX-A: b\r\n\r\n"), -1)
+	f.Add([]byte("3;a=b\r\nabc\r\n0\r\n\r\n"), -1)
+	f.Add([]byte("FFFFFFFFFFFFFFFF\r\n"), -1)
+	f.Add([]byte("abc"), 3)
+	f.Add([]byte("abc"), -2)
+	f.Fuzz(func(t *testing.T, text []byte, contentLength int) {
+		lease := http1.NewMemoryBudget(budget).Lease()
+		body, err := http1.ReadBody(bufio.NewReader(bytes.NewReader(text)), contentLength, limit, lease)
+		if err == nil {
+			require.LessOrEqual(t, len(body), limit)
+			require.True(t, contentLength < 0 || len(body) == contentLength)
+		}
+		lease.Release()
+	})
+}
+
+// The events of a body are its bytes, without any loss, up to an incomplete one.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"))
+	f.Add([]byte(":\n\n\n\ndata"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		events := http1.NewEventReader(bytes.NewReader(text))
+		var all []byte
+		for {
+			e, err := events.Next()
+			if err != nil {
+				require.True(t, bytes.HasPrefix(text, all))
+				require.True(t, err != io.EOF || len(all) == len(text))
+				return
+			}
+			all = append(all, e...)
+		}
+	})
+}
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -61,7 +61,7 @@
 	for {
 		c := p.pop(k)
 		if c == nil {
-			return dial(k)
+			return Dial(k)
 		}
 		if clock.Now().Before(c.expires) && c.hasNoInput() {
 			return c, nil
@@ -84,7 +84,8 @@
 	return c
 }
 
-func dial(k Key) (*PooledConn, error) {
+// Dial opens a new connection to an upstream.
+func Dial(k Key) (*PooledConn, error) {
 	conn, err := socket.Dialer(dialTimeout).Dial("tcp", k.Addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "the upstream is unreachable")
--- a/io/upstream/announcer.go
+++ b/io/upstream/announcer.go
@@ -36,7 +36,7 @@
 
 // Start sends announcements and reports in a new goroutine until Stop.
 func (a *Announcer) Start() {
-	a.client = NewClient(a.Secret)
+	a.client = NewClient(a.Secret, nil)
 	a.stop, a.done = make(chan struct{}), make(chan struct{})
 	go a.run()
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -1,9 +1,9 @@
 package upstream
 
 import (
-	"net"
+	"bufio"
 	"net/netip"
-	"sync"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,147 +11,136 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
+	"oleanderlever/io/http1"
+	"oleanderlever/io/links"
 )
 
 const (
-	dialTimeout     = time.Second
-	idleConnTimeout = 30 * time.Second
-	maxConns        = 4096
-	writeTimeout    = 10 * time.Second
-	// maxResponseBytes limits the body of a response that is not streamed.
-	maxResponseBytes = 64 << 20
-	// clientIdleTimeout is how long the HTTP client of an upstream that gets no requests is kept.
-	clientIdleTimeout = 5 * time.Minute
+	// maxResponseBytes limits the body of a plain service's response.
+	maxResponseBytes = 16 << 20
+	requestBuffer    = 4096
 )
 
 // Client sends requests to upstreams.
 type Client struct {
-	secret string
-
-	mu          sync.Mutex
-	hostClients map[clientKey]*hostClient
-}
-
-// clientKey identifies an HTTP client. The readTimeout is positive for streams and zero for requests whose response is
-// read completely.
-type clientKey struct {
-	addr        netip.AddrPort
-	readTimeout time.Duration
+	secret   string
+	connPool *links.Pool
+	bodies   *http1.MemoryBudget
 }
 
-type hostClient struct {
-	*fasthttp.HostClient
-	lastUsed time.Time
+// NewClient returns a client that authenticates its requests with the secret. Bodies count against the budget, which is
+// nil for no limit.
+func NewClient(secret string, bodies *http1.MemoryBudget) *Client {
+	return &Client{secret: secret, connPool: links.New(), bodies: bodies}
 }
 
-// NewClient returns a client that authenticates its requests with the secret.
-func NewClient(secret string) *Client {
-	return &Client{secret: secret, hostClients: map[clientKey]*hostClient{}}
+// reply is a response whose header has been read.
+type reply struct {
+	conn   *links.PooledConn
+	key    links.Key
+	header fasthttp.ResponseHeader
+	// closeConn is true if the connection must not be used again.
+	closeConn bool
 }
 
-// errDial marks errors that occurred before the first byte was sent, which means that the request was not executed.
-var errDial = errors.New("no connection")
-
-func (c *Client) hostClient(k clientKey) *fasthttp.HostClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	h := c.hostClients[k]
-	if h == nil {
-		c.removeIdle(now)
-		h = &hostClient{HostClient: newHostClient(k)}
-		c.hostClients[k] = h
+// roundTrip sends a request once and reads the header of the response. The timeout limits all reads and writes of the
+// connection until the caller sets another deadline. With newConnection, an idle connection is not used.
+func (c *Client) roundTrip(
+	addr netip.AddrPort, req *fasthttp.Request, timeout time.Duration, newConnection bool,
+) (*reply, *core.Failure) {
+	r := &reply{key: links.Key{Addr: addr}, closeConn: newConnection}
+	connect := c.connPool.Get
+	if newConnection {
+		connect = links.Dial
+		req.SetConnectionClose()
 	}
-	h.lastUsed = now
-	return h.HostClient
-}
-
-func (c *Client) removeIdle(now time.Time) {
-	for k, h := range c.hostClients {
-		if now.Sub(h.lastUsed) >= clientIdleTimeout {
-			h.CloseIdleConnections()
-			delete(c.hostClients, k)
-		}
+	conn, err := connect(r.key)
+	if err != nil {
+		return nil, &core.Failure{Kind: core.KindUpstreamFailed, Message: err.Error(), NotExecuted: true}
 	}
-}
-
-// newHostClient returns an HTTP client without automatic retries: the core decides whether a request may be repeated.
-func newHostClient(k clientKey) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                          k.addr.String(),
-		Dial:                          func(addr string) (net.Conn, error) { return dial(addr, k.readTimeout) },
-		MaxConns:                      maxConns,
-		MaxIdleConnDuration:           idleConnTimeout,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:      true,
-		DisableHeaderNamesNormalizing: false,
-		DisablePathNormalizing:        true,
-		StreamResponseBody:            k.readTimeout > 0,
-		MaxResponseBodySize:           maxResponseBytes,
-		WriteTimeout:                  writeTimeout,
+	r.conn = conn
+	if err := r.exchange(req, timeout); err != nil {
+		_ = conn.Close()
+		return nil, transportFailure(err)
 	}
+	return r, nil
 }
 
-func dial(addr string, readTimeout time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-	if err != nil {
-		return nil, errors.Mark(err, errDial)
+func (r *reply) exchange(req *fasthttp.Request, timeout time.Duration) error {
+	if err := r.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	w := bufio.NewWriterSize(r.conn, requestBuffer)
+	if err := req.Write(w); err != nil {
+		return err
 	}
-	if readTimeout == 0 {
-		return conn, nil
+	if err := w.Flush(); err != nil {
+		return err
 	}
-	return &readTimeoutConn{Conn: conn, timeout: readTimeout}, nil
+	return http1.ReadResponseHeader(r.conn.Reader, &r.header)
 }
 
-// readTimeoutConn sets a deadline for each read, so that a stalled stream is detected.
-type readTimeoutConn struct {
-	net.Conn
-	timeout time.Duration
+// readBody reads a body of at most limit bytes, and returns the connection to the pool if the response is complete.
+func (c *Client) readBody(r *reply, limit int, memory *http1.MemoryLease) ([]byte, *core.Failure) {
+	body, err := http1.ReadBody(r.conn.Reader, r.header.ContentLength(), limit, memory)
+	if err != nil {
+		_ = r.conn.Close()
+		return nil, transportFailure(err)
+	}
+	c.release(r)
+	return body, nil
 }
 
-// Read waits at most for the timeout.
-func (c *readTimeoutConn) Read(b []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
+// release returns the connection of a completely read response to the pool, or closes it.
+func (c *Client) release(r *reply) {
+	if r.closeConn {
+		_ = r.conn.Close()
+		return
 	}
-	return c.Conn.Read(b)
+	c.connPool.Put(r.key, r.conn, &r.header)
 }
 
-// SetReadDeadline does nothing because Read sets the deadline.
-func (c *readTimeoutConn) SetReadDeadline(time.Time) error { return nil }
-
-// transportFailure converts an error of the HTTP client. NotExecuted is true only if no byte of the request was sent.
+// transportFailure converts an error that occurred after the request may have been sent.
 func transportFailure(err error) *core.Failure {
-	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return &core.Failure{Kind: core.KindUpstreamFailed, Message: "the upstream is unreachable", NotExecuted: true}
-	}
-	if errors.Is(err, fasthttp.ErrTimeout) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return core.Fail(core.KindUpstreamFailed, "the upstream did not respond in time")
+	case errors.Is(err, http1.ErrTooLong), errors.Is(err, http1.ErrNoMemory):
+		return core.Fail(core.KindUpstreamFailed, "the upstream's response was not read to its end: %v", err)
 	}
 	return core.Fail(core.KindUpstreamFailed, "the connection to the upstream was lost: %v", err)
 }
 
-// Call sends a request to a plain service and reads the complete response. With newConnection it opens a connection for
-// this request: the upstream may be closing an idle one, and it would be unknown whether a request that was sent on it
-// was executed.
-func (c *Client) Call(addr netip.AddrPort, a core.AttemptID, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration, newConnection bool) *core.Failure {
+// Call sends a request to a plain service and reads the complete response within the timeout; the body counts against
+// memory. With newConnection it opens a connection for this request: the upstream may be closing an idle one, and it
+// would be unknown whether a request that was sent on it was executed.
+func (c *Client) Call(
+	addr netip.AddrPort, a core.AttemptID, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration,
+	newConnection bool, memory *http1.MemoryLease,
+) *core.Failure {
 	req.Header.Set(HeaderAttempt, a.String())
 	if c.secret != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, bearer.Value(c.secret))
 	}
 	req.SetHost(addr.String())
-	h := c.hostClient(clientKey{addr: addr})
-	if newConnection {
-		h = newHostClient(clientKey{addr: addr})
-		req.SetConnectionClose()
-		defer h.CloseIdleConnections()
+	r, f := c.roundTrip(addr, req, timeout, newConnection)
+	if f != nil {
+		return f
 	}
-	if err := h.DoTimeout(req, resp, timeout); err != nil {
-		return transportFailure(err)
+	if req.Header.IsHead() {
+		r.header.SetContentLength(0)
 	}
+	body, f := c.readBody(r, maxResponseBytes, memory)
+	if f != nil {
+		return f
+	}
+	r.header.CopyTo(&resp.Header)
+	resp.SetBodyRaw(body)
 	if echo := string(resp.Header.Peek(HeaderAttempt)); echo != "" && echo != a.String() {
 		return core.Fail(core.KindUpstreamFailed, "the response belongs to attempt %s", echo)
 	}
 	return nil
 }
+
+// NewLease returns a lease for the bodies of one request.
+func (c *Client) NewLease() *http1.MemoryLease { return c.bodies.Lease() }
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -77,7 +77,7 @@
 	} {
 		addr := serveLines(t, c.lines...)
 		text := ""
-		result := upstream.NewClient("").Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, time.Second, func(s string) error {
+		result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, time.Second, func(s string) error {
 			text += s
 			return nil
 		})
@@ -95,20 +95,20 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s\n", tokenLine("r/1", 0))
 		}
 	})
-	result := upstream.NewClient("").Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, 100*time.Millisecond, func(string) error { return nil })
+	result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, 100*time.Millisecond, func(string) error { return nil })
 	require.True(t, result.ConnectionLost)
 	require.False(t, result.Failure.NotExecuted)
 }
 
 func callService(addr netip.AddrPort, newConnection bool) *core.Failure {
-	return callServiceWith(upstream.NewClient(""), addr, newConnection)
+	return callServiceWith(upstream.NewClient("", nil), addr, newConnection)
 }
 
 func callServiceWith(c *upstream.Client, addr netip.AddrPort, newConnection bool) *core.Failure {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("/orders")
 	req.Header.SetMethod("POST")
-	return c.Call(addr, attempt, req, resp, time.Second, newConnection)
+	return c.Call(addr, attempt, req, resp, time.Second, newConnection, c.NewLease())
 }
 
 // A failure may say that the request was not executed only if no byte of it can have been sent.
@@ -153,7 +153,7 @@
 		_ = conn.Close()
 	})
 	calls.Store(0)
-	c := upstream.NewClient("")
+	c := upstream.NewClient("", nil)
 	require.Nil(t, callServiceWith(c, keepAlive, false))
 	require.NotNil(t, callServiceWith(c, keepAlive, false))
 	require.Equal(t, int32(2), calls.Load())
@@ -184,11 +184,11 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
 		}
 	})
-	c := upstream.NewClient("")
+	c := upstream.NewClient("", nil)
 	for n := range 5 {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("/menu")
-		f := c.Call(addr, attempt, req, resp, 500*time.Millisecond, false)
+		f := c.Call(addr, attempt, req, resp, 500*time.Millisecond, false, c.NewLease())
 		if n == 0 {
 			require.NotNil(t, f)
 			continue
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"io"
 	"net/netip"
@@ -13,13 +12,15 @@
 
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
+	"oleanderlever/io/http1"
 )
 
 const (
 	contentJSON   = "application/json"
 	cancelTimeout = 2 * time.Second
-	// maxTokenBytes limits a line of a decode response, and the body of its error response.
-	maxTokenBytes = 1 << 20
+	// maxTokenBytes limits a line of a decode response, maxReplyBytes the body of any other response of an engine.
+	maxTokenBytes = 64 << 10
+	maxReplyBytes = 1 << 20
 )
 
 // fillRequest makes req an authenticated POST request with a JSON body.
@@ -64,16 +65,19 @@
 
 // send sends a POST request with a JSON body and reads the complete response.
 func (c *Client) send(addr netip.AddrPort, path string, body any, timeout time.Duration) (response, *core.Failure) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	if err := c.fillRequest(req, addr, path, body); err != nil {
 		return response{}, core.FailureOf(err)
 	}
-	if err := c.hostClient(clientKey{addr: addr}).DoTimeout(req, resp, timeout); err != nil {
-		return response{}, transportFailure(err)
+	r, f := c.roundTrip(addr, req, timeout, false)
+	if f != nil {
+		return response{}, f
 	}
-	return response{status: resp.StatusCode(), body: bytes.Clone(resp.Body())}, nil
+	memory := c.NewLease()
+	defer memory.Release()
+	reply, f := c.readBody(r, maxReplyBytes, memory)
+	return response{status: r.header.StatusCode(), body: reply}, f
 }
 
 // Prefill requests the KV cache of a prompt from an engine.
@@ -121,24 +125,40 @@
 // that a stream with a gap or with another attempt's tokens ends in a failure and not in a wrong response. An error from
 // onToken means that the caller disconnected and ends the stream.
 func (c *Client) Decode(addr netip.AddrPort, request *DecodeRequest, tokenTimeout time.Duration, onToken func(text string) error) DecodeResult {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	if err := c.fillRequest(req, addr, PathDecode, request); err != nil {
 		return DecodeResult{Failure: core.FailureOf(err)}
 	}
-	if err := c.hostClient(clientKey{addr: addr, readTimeout: tokenTimeout}).Do(req, resp); err != nil {
-		f := transportFailure(err)
+	r, f := c.roundTrip(addr, req, tokenTimeout, false)
+	if f != nil {
 		return DecodeResult{Failure: f, ConnectionLost: !f.NotExecuted}
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if resp.StatusCode() != fasthttp.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(resp.BodyStream(), maxTokenBytes))
-		return DecodeResult{Failure: errorFailure(resp.StatusCode(), body)}
+	if r.header.StatusCode() != fasthttp.StatusOK {
+		memory := c.NewLease()
+		defer memory.Release()
+		body, f := c.readBody(r, maxReplyBytes, memory)
+		if f == nil {
+			f = errorFailure(r.header.StatusCode(), body)
+		}
+		return DecodeResult{Failure: f}
+	}
+	body := http1.Body(r.conn.Reader, r.header.ContentLength())
+	result := readTokens(body, request, func(text string) error {
+		if err := onToken(text); err != nil {
+			return err
+		}
+		return r.conn.SetDeadline(time.Now().Add(tokenTimeout))
+	})
+	if n, err := body.Read(make([]byte, 1)); result.Failure != nil || n > 0 || !errors.Is(err, io.EOF) {
+		r.closeConn = true
 	}
-	return readTokens(resp.BodyStream(), request, onToken)
+	c.release(r)
+	return result
 }
 
+// readTokens reads a stream up to its last token. Repeated tokens are skipped and not passed to onToken, so that they do
+// not extend the time for the next token.
 func readTokens(r io.Reader, request *DecodeRequest, onToken func(text string) error) DecodeResult {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxTokenBytes)
--- a/io/upstream/peer.go
+++ b/io/upstream/peer.go
@@ -46,7 +46,7 @@
 		Handler: s.handle, MaxRequestBodySize: maxMessageBytes, ReadTimeout: messageReadTimeout, IdleTimeout: time.Minute,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
-	engines := &engineClient{client: NewClient(secret), loop: h.Loop, cancelSlots: make(chan struct{}, maxConcurrentCancels)}
+	engines := &engineClient{client: NewClient(secret, h.Bodies), loop: h.Loop, cancelSlots: make(chan struct{}, maxConcurrentCancels)}
 	return control.Instance{
 		Start: func() { go func() { _ = httpServer.Serve(l) }() },
 		Perform: func(a core.Action) {
