core/lease, core/member: configurations spread from host to host

Cause: the leader alone told the members that it knew of a change, once, and sent each of them the whole configuration. With 340 hosts the last one learned of a change at its next renewal, up to 5 s later; after all replicas restarted, the new leader knew few members; each change cost the leader the configuration times the number of hosts, and all hosts renewed at once. Change: a host that activates a version, or hears of a new term, tells four random hosts; these ask it for the changes. Pings carry the active version, so a host that no message reached hears of it within half a second. Any host answers from what is active there, since only committed versions become active. Renewals have jitter, and a host that has a newer version than its lease requires keeps the lease. The report of an active version goes with the next renewal.

--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -8,10 +8,6 @@
 	"oleanderlever/core"
 )
 
-// maxChanges is how many recent changes a replica keeps, so that it can update a host without sending the full
-// configuration.
-const maxChanges = 512
-
 // pendingRequest is a LeaseRequest or StatusRequest that waits for the leadership verification.
 type pendingRequest struct {
 	from    core.HostID
@@ -35,11 +31,9 @@
 	// after it; the number of members bounds how long.
 	leaderSince time.Time
 	members     []core.Member
-	config      *core.Config
-	changes     []core.Change
-	// hostConfig is the configuration as sent to hosts, without Source: only the leader returns an operator's
-	// original text.
-	hostConfig  *core.Config
+	// log has the configuration as sent to hosts, without Source: only the leader returns an operator's original text.
+	log         changeLog
+	intN        func(int) int
 	verifyQueue core.VerifyQueue[pendingRequest]
 	holders     map[core.HostID]heldLease
 }
@@ -54,35 +48,44 @@
 	}
 }
 
-// sendHints tells every host about this leader and its configuration version, so that hosts request a lease from it
-// at once. The previous leader may still be reachable for them and be isolated only from the other replicas.
+// sendHints tells every host about this leader, so that hosts request a lease from it at once. The previous leader may
+// still be reachable for them and be isolated only from the other replicas.
 func (g *grantor) sendHints(t *core.Turn) {
 	for i := range g.members {
-		t.Send(g.members[i].Host, core.LeaseHint{Version: g.config.Version, Epoch: g.epoch})
+		t.Send(g.members[i].Host, g.hint())
 	}
 }
 
-func (g *grantor) configCommitted(t *core.Turn, e core.ConfigCommitted) {
-	switch e.Change.Kind {
-	case 0:
-		// The configuration comes from a snapshot, so the changes that led to it are not known.
-		g.changes = nil
-	case core.ChangeReplaceConfig:
-		// Only the latest document matters, and sending its full configuration takes fewer bytes than the document
-		// with its text.
-		g.changes = nil
-	default:
-		g.changes = append(g.changes, e.Change)
+func (g *grantor) hint() core.LeaseHint {
+	return core.LeaseHint{Version: g.log.config.Version, Epoch: g.epoch, Leader: g.self}
+}
+
+// startSpread tells this host and a few others of a new version; these tell the others.
+func (g *grantor) startSpread(t *core.Turn) {
+	t.Send(g.self, g.hint())
+	var others []core.HostID
+	for i := range g.members {
+		if g.members[i].Host != g.self {
+			others = append(others, g.members[i].Host)
+		}
 	}
-	if len(g.changes) > maxChanges {
-		g.changes = slices.Delete(g.changes, 0, len(g.changes)-maxChanges)
+	for _, to := range pick(others, leaderFanout, g.intN) {
+		t.Send(to, g.hint())
+	}
+}
+
+func (g *grantor) configCommitted(t *core.Turn, e core.ConfigCommitted) {
+	config := *e.Config
+	config.Source = nil
+	if e.Change.Kind == 0 || e.Change.Kind == core.ChangeReplaceConfig {
+		// The changes that led to a snapshot are not known. Of documents only the latest matters, and sending its full
+		// configuration takes fewer bytes than the document with its text.
+		g.log.replace(&config)
+	} else {
+		g.log.add(&config, e.Change)
 	}
-	g.config = e.Config
-	hostConfig := *e.Config
-	hostConfig.Source = nil
-	g.hostConfig = &hostConfig
 	if g.leading {
-		g.sendHints(t)
+		g.startSpread(t)
 	}
 }
 
@@ -108,16 +111,11 @@
 	lease, renewInterval := leaseTiming(max(len(g.members), len(g.holders)))
 	m := core.LeaseGrant{
 		Duration: lease, RenewAfter: renewInterval, Seq: r.request.Seq,
-		Leader: g.self, Epoch: g.epoch, Version: g.config.Version,
+		Leader: g.self, Epoch: g.epoch, Version: g.log.config.Version,
 	}
-	behind := g.config.Version - r.request.HaveVersion
-	switch {
-	case r.request.HaveVersion > g.config.Version:
+	var ok bool
+	if m.Changes, m.Config, ok = g.log.since(r.request.HaveVersion); !ok {
 		return
-	case behind <= core.ConfigVersion(len(g.changes)):
-		m.Changes = g.changes[len(g.changes)-int(behind):]
-	default:
-		m.Config = g.hostConfig
 	}
 	g.holders[r.from] = heldLease{version: r.request.HaveVersion, expires: t.Now.Add(lease)}
 	t.Send(r.from, m)
@@ -129,7 +127,7 @@
 	if previousLease, _ := leaseTiming(2 * len(g.members)); now.Sub(g.leaderSince) < previousLease {
 		return 0
 	}
-	v := g.config.Version
+	v := g.log.config.Version
 	for h, l := range g.holders {
 		if now.After(l.expires) {
 			delete(g.holders, h)
@@ -151,7 +149,7 @@
 func (g *grantor) sendStatus(t *core.Turn, from core.HostID, m core.StatusRequest) {
 	s := t.SaveSnapshot()
 	status := core.Status{
-		Leader: g.self, Epoch: g.epoch, Version: g.config.Version, ActiveVersion: g.activeVersion(t.Now),
+		Leader: g.self, Epoch: g.epoch, Version: g.log.config.Version, ActiveVersion: g.activeVersion(t.Now),
 		Replicas: s.Replicas.Members, History: latestResults(s.Commands), Config: s.Config,
 	}
 	for _, h := range slices.Sorted(maps.Keys(g.holders)) {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -60,7 +60,16 @@
 	expires      time.Time
 	// renewInterval is the interval between renewals that the leader requested.
 	renewInterval time.Duration
-	config        *core.Config
+	// log has the active configuration.
+	log   changeLog
+	fetch fetch
+	self  core.HostID
+	// peers are the other live hosts.
+	peers []core.HostID
+	intN  func(int) int
+	// heardEpoch is the latest term that this host has heard of, heardLeader its leader.
+	heardEpoch  core.Epoch
+	heardLeader core.HostID
 	// serveStale disables the expiry of leases: an isolated host keeps serving with its last configuration.
 	serveStale bool
 }
@@ -85,7 +94,7 @@
 	if len(h.sentRequests) > 2 {
 		h.leader = ""
 	}
-	t.Send(to, core.LeaseRequest{Seq: h.lastSeq, HaveVersion: h.config.Version})
+	t.Send(to, core.LeaseRequest{Seq: h.lastSeq, HaveVersion: h.log.config.Version})
 }
 
 // initialRequestInterval is the request interval of a host that has no configuration yet and so can't serve requests.
@@ -94,18 +103,29 @@
 // requestInterval returns the time until the next request.
 func (h *holder) requestInterval() time.Duration {
 	switch {
-	case h.config.Version == 0:
+	case h.log.config.Version == 0:
 		return initialRequestInterval
 	case len(h.sentRequests) > 0:
 		return RenewInterval
 	}
-	return max(RenewInterval, h.renewInterval)
+	return h.withJitter(max(RenewInterval, h.renewInterval))
+}
+
+// withJitter shortens an interval by up to a quarter, since the hosts of a fleet that started together would otherwise
+// renew their leases all at once.
+func (h *holder) withJitter(d time.Duration) time.Duration {
+	const steps = 256
+	return d - d*time.Duration(h.intN(steps))/(4*steps)
 }
 
 // membersChanged treats every host with a data directory as a replica, which may be the leader or know the leader.
 func (h *holder) membersChanged(t *core.Turn, members []core.Member) {
 	var replicas []core.HostID
+	h.peers = nil
 	for i := range members {
+		if members[i].Host != h.self {
+			h.peers = append(h.peers, members[i].Host)
+		}
 		if members[i].Disk != "" {
 			replicas = append(replicas, members[i].Host)
 		}
@@ -119,17 +139,19 @@
 	h.replicas = replicas
 }
 
-// handleHint requests a lease from a leader that has a newer term or a newer configuration.
+// handleHint requests a lease from the leader of a newer term, and a newer configuration from its sender.
 func (h *holder) handleHint(t *core.Turn, from core.HostID, m core.LeaseHint) {
-	if m.Epoch < h.epoch || (m.Epoch == h.epoch && m.Version <= h.config.Version) {
-		return
-	}
-	if m.Epoch > h.epoch {
+	if m.Epoch > max(h.epoch, h.heardEpoch) {
+		h.heardEpoch, h.heardLeader = m.Epoch, m.Leader
+		if m.Leader == "" {
+			h.heardLeader = from
+		}
 		// Unanswered requests to the previous leader say nothing about this one.
-		h.sentRequests = nil
+		h.sentRequests, h.leader = nil, h.heardLeader
+		h.sendRequest(t)
+		h.spread(t)
 	}
-	h.leader = from
-	h.sendRequest(t)
+	h.fetchFrom(t, source{host: from, version: m.Version})
 }
 
 func (h *holder) handleRedirect(t *core.Turn, m core.LeaseRedirect) {
@@ -147,9 +169,9 @@
 	}
 	sentAt := h.sentRequests[i].sentAt
 	h.renewInterval = m.RenewAfter
-	h.nextRequest = core.Earlier(h.nextRequest, t.Now.Add(max(RenewInterval, m.RenewAfter)))
+	h.nextRequest = core.Earlier(h.nextRequest, t.Now.Add(h.withJitter(max(RenewInterval, m.RenewAfter))))
 	h.sentRequests = slices.Delete(h.sentRequests, 0, i+1)
-	if m.Version < h.config.Version || !h.updateConfig(t, m) {
+	if m.Version > h.log.config.Version && !h.updateConfig(t, m.Version, m.Changes, m.Config) {
 		return
 	}
 	lease := core.HolderLeaseTime(min(m.Duration, MaxDuration))
@@ -163,35 +185,33 @@
 	if h.leader != m.Leader || h.epoch != m.Epoch {
 		t.LogDecision(core.Decision{Component: "lease", Choice: "leader", Reason: fmt.Sprintf("term %d after %d", m.Epoch, h.epoch), Target: string(m.Leader)})
 		h.leader, h.epoch = m.Leader, m.Epoch
+		h.heardEpoch, h.heardLeader = m.Epoch, m.Leader
 		t.Post(core.LeaseLeaderChanged{Leader: m.Leader, Epoch: m.Epoch})
 	}
 }
 
-// updateConfig brings the configuration to the version of the grant and reports whether it succeeded.
-func (h *holder) updateConfig(t *core.Turn, m core.LeaseGrant) bool {
-	if m.Version == h.config.Version {
-		return true
-	}
-	next := h.config
-	if m.Config != nil {
-		copied := *m.Config
+// updateConfig brings the configuration to a newer version, by changes or as a whole, and reports whether it succeeded.
+func (h *holder) updateConfig(t *core.Turn, version core.ConfigVersion, changes []core.Change, config *core.Config) bool {
+	next, previous := h.log, h.log.config.Version
+	if config != nil {
+		copied := *config
 		copied.BuildIndex()
-		next = &copied
+		next.replace(&copied)
 	}
-	for i := range m.Changes {
-		applied, err := next.Apply(&m.Changes[i])
+	next.changes = slices.Clone(next.changes)
+	for i := range changes {
+		applied, err := next.config.Apply(&changes[i])
 		if err != nil {
 			return false
 		}
-		next = applied
+		next.add(applied, changes[i])
 	}
-	if next.Version != m.Version {
+	if next.config.Version != version {
 		return false
 	}
-	t.LogDecision(core.Decision{Component: "lease", Choice: "inForce", Reason: fmt.Sprintf("version %d (revision %d) after %d", next.Version, next.Revision, h.config.Version)})
-	h.config = next
-	// The next request tells the leader that the version is active on this host.
-	h.nextRequest = t.Now
-	t.Post(core.ConfigActivated{Config: next})
+	t.LogDecision(core.Decision{Component: "lease", Choice: "inForce", Reason: fmt.Sprintf("version %d (revision %d) after %d", version, next.config.Revision, previous)})
+	h.log = next
+	t.Post(core.ConfigActivated{Config: next.config})
+	h.spread(t)
 	return true
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -38,10 +38,11 @@
 	emptyConfig.BuildIndex()
 	c := &component{
 		holder: holder{
-			serveStale: env.ServeStale, replicas: env.InitialReplicas, config: emptyConfig, lastSeq: env.Rand.Uint64() >> 1,
+			self: env.Self, serveStale: env.ServeStale, replicas: env.InitialReplicas, log: changeLog{config: emptyConfig},
+			lastSeq: env.Rand.Uint64() >> 1, intN: env.Rand.IntN,
 		},
 		grantor: grantor{
-			self: env.Self, config: emptyConfig, hostConfig: emptyConfig, holders: map[core.HostID]heldLease{},
+			self: env.Self, log: changeLog{config: emptyConfig}, holders: map[core.HostID]heldLease{}, intN: env.Rand.IntN,
 			verifyQueue: core.VerifyQueue[pendingRequest]{ID: core.VerifyQueueLease},
 		},
 		statusRequests: map[uint64]*pendingStatus{},
@@ -64,6 +65,8 @@
 		c.grantor.configCommitted(t, e)
 	case core.LeaderVerified:
 		c.grantor.leaderVerified(t, e)
+	case core.ConfigVersionHeard:
+		c.holder.fetchFrom(t, source{host: e.From, version: e.Version})
 	case core.OperatorStatusRequest:
 		c.requestStatus(t, e.CorrelationID)
 	case core.MessageReceived:
@@ -81,6 +84,10 @@
 		c.holder.handleRedirect(t, m)
 	case core.LeaseHint:
 		c.holder.handleHint(t, from, m)
+	case core.ConfigRequest:
+		c.handleConfigRequest(t, from, m)
+	case core.ConfigUpdate:
+		c.holder.handleUpdate(t, m)
 	case core.StatusRequest:
 		c.grantor.handleStatusRequest(t, from, m)
 	case core.StatusResponse:
@@ -88,6 +95,15 @@
 	}
 }
 
+// handleConfigRequest responds with the configuration that the leader has committed, or that is active on another host.
+func (c *component) handleConfigRequest(t *core.Turn, from core.HostID, m core.ConfigRequest) {
+	if c.grantor.leading {
+		c.grantor.log.update(t, from, m.HaveVersion)
+		return
+	}
+	c.holder.log.update(t, from, m.HaveVersion)
+}
+
 func (c *component) requestStatus(t *core.Turn, correlationID uint64) {
 	if len(c.statusRequests) >= maxStatusRequests {
 		t.Emit(core.OperatorStatusResponse{
@@ -113,6 +129,7 @@
 	if core.Due(c.holder.nextRequest, t.Now) {
 		c.holder.sendRequest(t)
 	}
+	c.holder.expireFetch(t)
 	for _, correlationID := range slices.Sorted(maps.Keys(c.statusRequests)) {
 		pending := c.statusRequests[correlationID]
 		if core.Due(pending.deadline, t.Now) {
@@ -130,7 +147,7 @@
 }
 
 func (c *component) nextDeadline() time.Time {
-	next := c.holder.nextRequest
+	next := core.Earlier(c.holder.nextRequest, c.holder.fetch.deadline)
 	for _, pending := range c.statusRequests {
 		next = core.Earlier(next, core.Earlier(pending.deadline, pending.resendAt))
 	}
@@ -138,6 +155,6 @@
 }
 
 func (c *component) gauges(set func(string, int64)) {
-	set("version", int64(c.holder.config.Version))
+	set("version", int64(c.holder.log.config.Version))
 	set("holders", int64(len(c.grantor.holders)))
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -92,6 +92,8 @@
 	nextProbe     time.Time
 	nextSeedPing  time.Time
 	dirty         bool
+	// version is the configuration version that is active on this host.
+	version core.ConfigVersion
 	// loggedBoots has the boot number of each host that was live when changes were last logged.
 	loggedBoots map[core.HostID]uint64
 }
@@ -126,6 +128,8 @@
 		c.tick(t)
 	case core.SeedsChanged:
 		c.seeds = e.Seeds
+	case core.ConfigActivated:
+		c.version = e.Config.Version
 	case core.Draining:
 		c.self.Leaving = true
 		c.self.Incarnation++
@@ -143,8 +147,18 @@
 	switch m := m.(type) {
 	case core.Ping:
 		c.handlePing(t, from, m)
+		c.compareVersion(t, from, m.Version)
 	case core.Pong:
 		c.handlePong(t, m)
+		c.compareVersion(t, from, m.Version)
+	}
+}
+
+// compareVersion tells the other components of a newer configuration. Each host pings another one in every ProbeInterval,
+// so a host that missed a change hears of it soon, whatever messages were lost.
+func (c *component) compareVersion(t *core.Turn, from core.HostID, version core.ConfigVersion) {
+	if version > c.version {
+		t.Post(core.ConfigVersionHeard{From: from, Version: version})
 	}
 }
 
@@ -154,7 +168,7 @@
 	if m.ProbeTarget == "" || m.ProbeTarget == c.self.Host {
 		// The address is given because the transport learns the address of a new host only after this step.
 		t.Emit(core.SendMessage{To: from, Addr: m.From.Addr, Message: core.Pong{
-			Seq: m.Seq, From: c.self, Updates: append(c.selectUpdates(from), c.sampleMembers(m)...),
+			Seq: m.Seq, From: c.self, Updates: append(c.selectUpdates(from), c.sampleMembers(m)...), Version: c.version,
 		}})
 		return
 	}
@@ -252,7 +266,9 @@
 		target: target, seq: c.seq,
 		indirectAt: t.Now.Add(PongTimeout), suspectAt: t.Now.Add(ProbeInterval - time.Millisecond),
 	}
-	t.Send(target, core.Ping{Seq: c.seq, From: c.self, KnownHosts: len(c.hosts), Updates: c.selectUpdates(target)})
+	t.Send(target, core.Ping{
+		Seq: c.seq, From: c.self, KnownHosts: len(c.hosts), Updates: c.selectUpdates(target), Version: c.version,
+	})
 }
 
 // pingSuspects pings every suspect host directly, so that it can refute the suspicion and is not declared dead because
@@ -353,7 +369,7 @@
 	if addr != c.self.Addr {
 		c.seq++
 		t.Emit(core.SendMessage{Addr: addr, Message: core.Ping{
-			Seq: c.seq, From: c.self, KnownHosts: len(c.hosts), Updates: c.selectUpdates(""),
+			Seq: c.seq, From: c.self, KnownHosts: len(c.hosts), Updates: c.selectUpdates(""), Version: c.version,
 		}})
 	}
 }
--- a/core/message.go
+++ b/core/message.go
@@ -32,6 +32,8 @@
 	// KnownHosts is the size of the sender's member table; a receiver that knows more hosts sends some of them back.
 	KnownHosts int      `cbor:"known"`
 	Updates    []Member `cbor:"news"`
+	// Version is the configuration version that is active on the sender.
+	Version ConfigVersion `cbor:"config,omitempty"`
 }
 
 // Pong responds to a Ping.
@@ -39,6 +41,14 @@
 	Seq     uint64   `cbor:"seq"`
 	From    Member   `cbor:"from"`
 	Updates []Member `cbor:"news"`
+	// Version is the configuration version that is active on the sender.
+	Version ConfigVersion `cbor:"config,omitempty"`
+}
+
+// ConfigVersionHeard is the event that another host has a newer configuration version than this one.
+type ConfigVersionHeard struct {
+	From    HostID
+	Version ConfigVersion
 }
 
 // VoteRequest asks for a vote in an election, or for a pre-vote.
@@ -130,11 +140,27 @@
 	Config  *Config  `cbor:"tables,omitempty"`
 }
 
-// LeaseHint tells a host that the sender is a new leader or has a new configuration, so that the host renews its
-// lease at once.
+// LeaseHint tells a host that there is a new leader, so that the host renews its lease at once, or that the sender has a
+// new configuration. Each host passes it on to a few others.
 type LeaseHint struct {
+	// Version is the version that the sender has.
 	Version ConfigVersion `cbor:"version"`
 	Epoch   Epoch         `cbor:"epoch,omitempty"`
+	// Leader is the leader of Epoch; empty means the sender.
+	Leader HostID `cbor:"leader,omitempty"`
+}
+
+// ConfigRequest asks a host for the changes since a configuration version.
+type ConfigRequest struct {
+	HaveVersion ConfigVersion `cbor:"have"`
+}
+
+// ConfigUpdate responds to a ConfigRequest.
+type ConfigUpdate struct {
+	Version ConfigVersion `cbor:"version"`
+	// Changes leads from the receiver's version to Version, unless Config is set.
+	Changes []Change `cbor:"changes,omitempty"`
+	Config  *Config  `cbor:"tables,omitempty"`
 }
 
 // LeaseRedirect tells a host which leader to ask instead.
--- a/core/validate.go
+++ b/core/validate.go
@@ -27,11 +27,9 @@
 		if m.Duration <= 0 || m.Duration > maxDuration || m.RenewAfter <= 0 || m.RenewAfter > maxDuration {
 			return Fail(KindBadRequest, "lease grant: duration or renewal time is out of range")
 		}
-		for i := range m.Changes {
-			if err := m.Changes[i].Validate(); err != nil {
-				return err
-			}
-		}
+		return validateChanges(m.Changes)
+	case ConfigUpdate:
+		return validateChanges(m.Changes)
 	case IdempotencyRequest:
 		return m.Record.validate()
 	case QuotaRequest:
@@ -54,6 +52,15 @@
 	return nil
 }
 
+func validateChanges(changes []Change) error {
+	for i := range changes {
+		if err := changes[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func validateMembers(list []Member) error {
 	for i := range list {
 		if err := ValidateName("member.host", string(list[i].Host)); err != nil {
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -60,6 +60,8 @@
 	newWireType[core.PlacementQueued](36),
 	newWireType[core.PlacementClaimsRequest](37),
 	newWireType[core.PlacementClaimsResponse](38),
+	newWireType[core.ConfigRequest](39),
+	newWireType[core.ConfigUpdate](40),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -37,6 +37,8 @@
 	core.LeaseGrant{Seq: 1, Duration: time.Second, RenewAfter: time.Second, Leader: "h", Version: 3, Changes: []core.Change{change}, Config: &config},
 	core.LeaseHint{Version: 3},
 	core.LeaseRedirect{Leader: "h"},
+	core.ConfigRequest{HaveVersion: 2},
+	core.ConfigUpdate{Version: 3, Changes: []core.Change{change}, Config: &config},
 	core.CommandRequest{Command: core.Command{ID: "c", ExpectedVersion: 2, Change: change, ReceivedAt: timestamp}},
 	core.CommandResponse{Result: core.CommandResult{ID: "c", Failure: core.Fail(core.KindVersionConflict, "no"), ReceivedAt: timestamp}},
 	core.StatusRequest{CorrelationID: 1},
