core/registry, core/dispatch: lists of upstreams are sent as changes

Cause: each replica sent the announcement of every upstream that it heard to every entry host once a second: upstreams times hosts. Change: a replica numbers its list and sends changes at once. Once a second it sends only which upstreams miss heartbeats, with their ages; all others of the list count as seen. A host that lost a change notices it by the number and asks for the complete list. An upstream at whose address another one was found gets work again after two seconds if it goes on to announce itself, since its announcements are not repeated any more. Result: tests; a refresh with 500 upstreams names only the missing one.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -42,7 +42,9 @@
 	hasUpstreams bool
 	pools        map[core.PoolID]*pool
 	cancels      map[cancelKey]*pendingCancel
-	nextSweep    time.Time
+	// heardLists are the lists of upstreams of the hosts that upstreams announce themselves to.
+	heardLists map[core.HostID]*heardList
+	nextSweep  time.Time
 	// nextAudit is when audit next runs without a change of the members.
 	nextAudit time.Time
 }
@@ -58,6 +60,7 @@
 		localPlacement: env.Placement != core.PlacementPerPool, heartbeatTimeout: env.UpstreamHeartbeatTimeout,
 		rand:  env.Rand,
 		pools: map[core.PoolID]*pool{}, cancels: map[cancelKey]*pendingCancel{},
+		heardLists: map[core.HostID]*heardList{},
 	}
 	if c.heartbeatTimeout == 0 {
 		c.heartbeatTimeout = defaultHeartbeatTimeout
@@ -94,7 +97,7 @@
 	case core.UpstreamUpdate:
 		c.handleUpdate(t, m)
 	case core.UpstreamList:
-		c.handleUpstreamList(t, m)
+		c.handleUpstreamList(t, from, m)
 	case core.PlacementRequest:
 		c.handleRequest(t, from, m)
 	case core.PlacementClaim:
@@ -166,9 +169,7 @@
 		}
 		pl.refresh(pl.upstreams[a.ID], t.Now, c.config.Policy(pl.id))
 	}
-	if want, ok := c.config.Assignment(a.ID); ok && !want.SatisfiedBy(a) && !a.Leaving {
-		t.Send(c.leader, core.AssignmentMismatch{Announcement: *a})
-	}
+	c.checkAssignment(t, a)
 	c.placeQueued(t, pl)
 	c.postAvailability(t)
 }
@@ -188,6 +189,7 @@
 // handleMembersChanged audits the pools immediately.
 func (c *component) handleMembersChanged(t *core.Turn, ev core.MembersChanged) {
 	c.members = ev.Members
+	c.forgetLists()
 	c.audit(t)
 }
 
--- a/core/dispatch/release.go
+++ b/core/dispatch/release.go
@@ -62,7 +62,7 @@
 	if u := pl.upstreams[m.FailedUpstream]; u != nil {
 		reason := "an attempt at the upstream failed"
 		if m.Misdirected {
-			u.misdirected, reason = true, "the upstream has a different identity or role than announced"
+			u.misdirected, u.misdirectedAt, reason = true, t.Now, "the upstream has a different identity or role than announced"
 		} else {
 			u.recordFailure(t.Now)
 		}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -56,8 +56,9 @@
 	cacheClock   uint64
 	reportSeq    uint64
 	// misdirected is true if an attempt found another upstream, or one of another role, at the address; a newer
-	// announcement clears it, a repeated one does not.
+	// announcement clears it, a repeated one does not before misdirectedRetry.
 	misdirected         bool
+	misdirectedAt       time.Time
 	consecutiveFailures int
 	breakerOpenUntil    time.Time
 	backoff             time.Duration
--- a/core/dispatch/upstreamlist.go
+++ b/core/dispatch/upstreamlist.go
@@ -3,21 +3,138 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"oleanderlever/core"
 )
 
+const (
+	// listRequestInterval is the shortest time between two requests for the complete list of one host.
+	listRequestInterval = 500 * time.Millisecond
+	// misdirectedRetry is how long an upstream with an unexpected identity or role gets no work if it goes on to
+	// announce the same ones.
+	misdirectedRetry = 2 * time.Second
+)
+
+// heardList is the list of upstreams that announce themselves to another host, as its messages have built it.
+type heardList struct {
+	boot, version uint64
+	upstreams     map[core.UpstreamID]heardUpstream
+	requestedAt   time.Time
+}
+
+// heardUpstream identifies the upstream that a list means.
+type heardUpstream struct {
+	pool        core.PoolID
+	incarnation uint64
+}
+
 // handleUpstreamList applies the list of upstreams from a host's registry plug-in to the pools of this host.
-func (c *component) handleUpstreamList(t *core.Turn, m core.UpstreamList) {
+func (c *component) handleUpstreamList(t *core.Turn, from core.HostID, m core.UpstreamList) {
 	for i := range m.Seen {
 		c.handleAnnouncement(t, &m.Seen[i].Announcement, t.Now.Add(-m.Seen[i].Age))
 	}
 	for _, deregistered := range m.Deregistered {
 		c.handleDeregistration(t, deregistered)
 	}
+	if l := c.updateList(t, from, &m); l != nil && m.Refresh {
+		c.refreshFromList(t, from, l, &m)
+	}
 	c.postAvailability(t)
 }
 
+// updateList brings the list of a host to the version of the message. It returns nil if that is impossible, and requests
+// the complete list.
+func (c *component) updateList(t *core.Turn, from core.HostID, m *core.UpstreamList) *heardList {
+	if m.Version == 0 {
+		return nil
+	}
+	l := c.heardLists[from]
+	if l == nil {
+		if len(c.heardLists) >= c.limits.Hosts {
+			return nil
+		}
+		l = &heardList{}
+		c.heardLists[from] = l
+	}
+	if m.Base == 0 {
+		*l = heardList{boot: m.Boot, upstreams: map[core.UpstreamID]heardUpstream{}, requestedAt: l.requestedAt}
+	} else if m.Boot != l.boot || m.Base != l.version {
+		c.requestList(t, from, l)
+		return nil
+	}
+	for i := range m.Seen {
+		a := &m.Seen[i].Announcement
+		if len(l.upstreams) < c.limits.Upstreams {
+			l.upstreams[a.ID] = heardUpstream{pool: a.Pool, incarnation: a.Incarnation}
+		}
+	}
+	for _, id := range m.Removed {
+		delete(l.upstreams, id)
+	}
+	l.version = m.Version
+	return l
+}
+
+func (c *component) requestList(t *core.Turn, from core.HostID, l *heardList) {
+	if l.requestedAt.IsZero() || t.Now.Sub(l.requestedAt) >= listRequestInterval {
+		l.requestedAt = t.Now
+		t.Send(from, core.UpstreamListRequest{})
+	}
+}
+
+// refreshFromList records when the upstreams of a list were last seen.
+func (c *component) refreshFromList(t *core.Turn, from core.HostID, l *heardList, m *core.UpstreamList) {
+	age := map[core.UpstreamID]time.Duration{}
+	for _, missing := range m.Missing {
+		age[missing.ID] = missing.Age
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
+		u := c.findUpstream(l.upstreams[id].pool, id)
+		missingFor, missing := age[id]
+		switch {
+		case u == nil && !missing:
+			// It was removed here while no list arrived.
+			c.requestList(t, from, l)
+			continue
+		case u == nil || u.Incarnation != l.upstreams[id].incarnation:
+			continue
+		case missing:
+			u.lastSeen = later(u.lastSeen, t.Now.Add(-missingFor))
+			continue
+		}
+		pl := c.pools[u.Pool]
+		u.lastSeen = later(u.lastSeen, t.Now.Add(-m.FreshFor))
+		pl.lastSeen = later(pl.lastSeen, t.Now)
+		u.misdirected = u.misdirected && t.Now.Sub(u.misdirectedAt) < misdirectedRetry
+		if u.decodeIndex < 0 && u.prefillIndex < 0 {
+			pl.refresh(u, t.Now, c.config.Policy(pl.id))
+		}
+		c.checkAssignment(t, &u.Announcement)
+	}
+}
+
+func (c *component) findUpstream(pool core.PoolID, id core.UpstreamID) *upstream {
+	if pl := c.pools[pool]; pl != nil {
+		return pl.upstreams[id]
+	}
+	return nil
+}
+
+// checkAssignment tells the leader of an engine that announces another state than the one assigned to it.
+func (c *component) checkAssignment(t *core.Turn, a *core.Announcement) {
+	if want, ok := c.config.Assignment(a.ID); ok && !want.SatisfiedBy(a) && !a.Leaving {
+		t.Send(c.leader, core.AssignmentMismatch{Announcement: *a})
+	}
+}
+
+// forgetLists removes the lists of hosts that are not members any more.
+func (c *component) forgetLists() {
+	maps.DeleteFunc(c.heardLists, func(h core.HostID, _ *heardList) bool {
+		return !slices.ContainsFunc(c.members, func(m core.Member) bool { return m.Host == h })
+	})
+}
+
 // handleDeregistration stops placing attempts on an upstream that has deregistered.
 func (c *component) handleDeregistration(t *core.Turn, deregistered core.UpstreamDeregistered) {
 	for _, id := range slices.Sorted(maps.Keys(c.pools)) {
--- a/core/message.go
+++ b/core/message.go
@@ -391,12 +391,33 @@
 	Report       *LoadReport   `cbor:"report,omitempty"`
 }
 
-// UpstreamList tells an entry host which upstreams were seen recently; it is sent if entry hosts place attempts
-// themselves.
+// UpstreamList tells an entry host about the upstreams that announce themselves to the sender; it is sent if entry hosts
+// place attempts themselves. The first list is complete, and the others change it, so that their size does not grow with
+// the number of upstreams.
 type UpstreamList struct {
-	Seen         []SeenUpstream         `cbor:"heard"`
+	Seen         []SeenUpstream         `cbor:"heard,omitempty"`
 	Deregistered []UpstreamDeregistered `cbor:"gone,omitempty"`
-}
+	// Boot is that of the sender. Version numbers its lists; this one changes the list with the version Base, or is
+	// complete if Base is zero.
+	Boot    uint64 `cbor:"boot,omitempty"`
+	Base    uint64 `cbor:"base,omitempty"`
+	Version uint64 `cbor:"version,omitempty"`
+	// Removed are the upstreams that are not in the list any more, since they were not seen for long.
+	Removed []UpstreamID `cbor:"removed,omitempty"`
+	// Refresh is true if all upstreams of the list but those in Missing have been seen in the last FreshFor.
+	Refresh  bool              `cbor:"refresh,omitempty"`
+	FreshFor time.Duration     `cbor:"freshFor,omitempty"`
+	Missing  []MissingUpstream `cbor:"missing,omitempty"`
+}
+
+// MissingUpstream is an upstream that misses heartbeats, with the time since the last one.
+type MissingUpstream struct {
+	ID  UpstreamID    `cbor:"id"`
+	Age time.Duration `cbor:"age"`
+}
+
+// UpstreamListRequest asks for the complete list, because a change of it was lost.
+type UpstreamListRequest struct{}
 
 // SeenUpstream is an announcement with its age at the sender.
 type SeenUpstream struct {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -10,9 +10,11 @@
 
 const (
 	rank = 55
-	// refreshInterval is how often the announcements received since the last refresh are sent to the entry hosts. This
-	// also repeats changes whose messages were lost.
+	// refreshInterval is how often the entry hosts are told which upstreams miss heartbeats. This also shows them that a
+	// change was lost.
 	refreshInterval = time.Second
+	// defaultFreshFor is how long an upstream counts as seen after a heartbeat where no heartbeat timeout is set.
+	defaultFreshFor = time.Second
 	// deregistrationRepeats is how many refreshes repeat a deregistration. Entry hosts keep the upstream's record for
 	// longer than that.
 	deregistrationRepeats = 5
@@ -24,15 +26,19 @@
 type record struct {
 	core.Announcement
 	lastSeen time.Time
-	lastSent time.Time
 }
 
-// component collects the announcements of upstreams to this host and sends them to all entry hosts: changes
-// immediately, all others in one message a second. Forwarding each announcement was rejected because the number of
-// messages grows with upstreams times hosts.
+// component keeps the list of the upstreams that announce themselves to this host, and sends its changes to all entry
+// hosts immediately, and once a second which upstreams miss heartbeats. Forwarding each announcement was rejected because
+// the number of messages grows with upstreams times hosts, and sending all of them once a second because the bytes do.
 type component struct {
 	maxUpstreams int
-	upstreams    map[core.UpstreamID]*record
+	boot         uint64
+	// version numbers the list; it grows with each change.
+	version uint64
+	// freshFor is how long an upstream counts as seen after a heartbeat.
+	freshFor  time.Duration
+	upstreams map[core.UpstreamID]*record
 	// deregistered has the number of refreshes that still repeat each deregistration.
 	deregistered map[core.UpstreamDeregistered]int
 	members      []core.Member
@@ -50,10 +56,13 @@
 		return core.Component{Handle: func(*core.Turn, core.Event) {}}
 	}
 	c := &component{
-		maxUpstreams: env.Limits.Upstreams, upstreams: map[core.UpstreamID]*record{},
+		maxUpstreams: env.Limits.Upstreams, boot: env.Boot, version: 1, freshFor: env.UpstreamHeartbeatTimeout / 2, upstreams: map[core.UpstreamID]*record{},
 		deregistered: map[core.UpstreamDeregistered]int{},
 		knownBoots:   map[core.HostID]uint64{},
 	}
+	if c.freshFor == 0 {
+		c.freshFor = defaultFreshFor
+	}
 	return core.Component{Handle: c.handle, NextDeadline: func() time.Time { return c.nextRefresh }, Gauges: c.gauges}
 }
 
@@ -67,6 +76,10 @@
 		c.handleMembersChanged(t, e.Members)
 	case core.Tick:
 		c.tick(t)
+	case core.MessageReceived:
+		if _, ok := e.Message.(core.UpstreamListRequest); ok {
+			t.Send(e.From, c.completeList(t))
+		}
 	}
 }
 
@@ -88,12 +101,11 @@
 	if !changed {
 		return
 	}
-	c.upstreams[a.ID].lastSent = t.Now
 	t.LogDecision(core.Decision{
 		Component: "registry", Choice: "heard", Reason: changeReason(&a), Pool: a.Pool, Target: string(a.ID),
 		Score: float64(a.Seq),
 	})
-	c.broadcast(t, core.UpstreamList{Seen: []core.SeenUpstream{{Announcement: a}}})
+	c.broadcastChange(t, core.UpstreamList{Seen: []core.SeenUpstream{{Announcement: a}}})
 }
 
 // changeReason returns the logged reason for sending a changed announcement.
@@ -143,7 +155,7 @@
 		}
 		boots[m.Host] = m.Boot
 		if c.knownBoots[m.Host] != m.Boot && len(c.upstreams) > 0 {
-			t.Send(m.Host, c.buildList(t, func(*record) bool { return true }))
+			t.Send(m.Host, c.completeList(t))
 		}
 	}
 	c.knownBoots = boots
@@ -158,13 +170,19 @@
 	}
 }
 
-// buildList returns the upstreams whose records pass include, with the ages of their announcements.
-func (c *component) buildList(t *core.Turn, include func(*record) bool) core.UpstreamList {
-	var m core.UpstreamList
+// broadcastChange sends a change of the list to all entry hosts, with a new version.
+func (c *component) broadcastChange(t *core.Turn, m core.UpstreamList) {
+	m.Boot, m.Base, m.Version = c.boot, c.version, c.version+1
+	c.version++
+	c.broadcast(t, m)
+}
+
+// completeList returns all upstreams with the ages of their announcements.
+func (c *component) completeList(t *core.Turn) core.UpstreamList {
+	m := core.UpstreamList{Boot: c.boot, Version: c.version}
 	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
-		if r := c.upstreams[id]; include(r) {
-			m.Seen = append(m.Seen, core.SeenUpstream{Announcement: r.Announcement, Age: t.Now.Sub(r.lastSeen)})
-		}
+		r := c.upstreams[id]
+		m.Seen = append(m.Seen, core.SeenUpstream{Announcement: r.Announcement, Age: t.Now.Sub(r.lastSeen)})
 	}
 	return m
 }
@@ -180,18 +198,27 @@
 		return
 	}
 	c.nextRefresh = time.Time{}
-	maps.DeleteFunc(c.upstreams, func(_ core.UpstreamID, r *record) bool { return t.Now.Sub(r.lastSeen) >= staleTimeout })
-	m := c.buildList(t, func(r *record) bool { return r.lastSeen.After(r.lastSent) || r.Leaving })
+	m := core.UpstreamList{Boot: c.boot, Base: c.version, Version: c.version, Refresh: true, FreshFor: c.freshFor}
+	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+		switch age := t.Now.Sub(c.upstreams[id].lastSeen); {
+		case age >= staleTimeout:
+			m.Removed = append(m.Removed, id)
+			delete(c.upstreams, id)
+		case age >= c.freshFor:
+			m.Missing = append(m.Missing, core.MissingUpstream{ID: id, Age: age})
+		}
+	}
 	for _, deregistration := range slices.SortedFunc(maps.Keys(c.deregistered), compareDeregistered) {
 		m.Deregistered = append(m.Deregistered, deregistration)
 		if c.deregistered[deregistration]--; c.deregistered[deregistration] == 0 {
 			delete(c.deregistered, deregistration)
 		}
 	}
-	for _, r := range c.upstreams {
-		r.lastSent = t.Now
+	if len(m.Removed) > 0 {
+		c.version++
+		m.Version = c.version
 	}
-	if len(m.Seen) > 0 || len(m.Deregistered) > 0 {
+	if len(c.upstreams) > 0 || len(m.Removed) > 0 || len(m.Deregistered) > 0 {
 		c.broadcast(t, m)
 	}
 	if len(c.upstreams) > 0 || len(c.deregistered) > 0 {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -102,18 +103,58 @@
 	require.False(t, got[0].Seen[0].Announcement.Leaving)
 }
 
-func TestRefreshSendsAges(t *testing.T) {
+// A refresh lists only the upstreams that miss heartbeats, with their ages: its size does not grow with the number of
+// upstreams.
+func TestRefreshListsMissingUpstreams(t *testing.T) {
 	d := newDriver()
+	for n := range 500 {
+		d.step(announcement(core.UpstreamID(fmt.Sprint("alive-", n)), 5, 1, false))
+	}
 	d.step(announcement("u", 5, 1, false))
-	d.step(announcement("v", 5, 1, false))
+	d.advance(600 * time.Millisecond)
 	d.takeSent("e1")
-	d.advance(400 * time.Millisecond)
-	d.step(announcement("u", 5, 2, false))
-	d.advance(time.Second)
+	for n := range 500 {
+		d.step(announcement(core.UpstreamID(fmt.Sprint("alive-", n)), 5, 2, false))
+	}
+	d.advance(900 * time.Millisecond)
 	got := d.takeSent("e1")
 	require.Len(t, got, 1, "one message a second for any number of upstreams")
-	require.Len(t, got[0].Seen, 1, "v has not announced itself again")
-	require.Equal(t, 600*time.Millisecond, got[0].Seen[0].Age)
+	require.True(t, got[0].Refresh)
+	require.Empty(t, got[0].Seen)
+	require.Equal(t, []core.MissingUpstream{{ID: "u", Age: time.Second}}, got[0].Missing)
+	d.step(announcement("u", 5, 2, false))
+	d.advance(500 * time.Millisecond)
+	got = d.takeSent("e1")
+	require.Len(t, got, 1)
+	require.NotContains(t, got[0].Missing, core.MissingUpstream{ID: "u", Age: 1500 * time.Millisecond})
+}
+
+// Each list names the version that it changes, so that an entry host notices a lost one and requests the complete list.
+func TestListsAreNumbered(t *testing.T) {
+	d := newDriver()
+	d.step(announcement("u", 5, 1, false))
+	d.step(announcement("v", 5, 1, false))
+	d.advance(1100 * time.Millisecond)
+	got := d.takeSent("e1")
+	require.Len(t, got, 3)
+	for n, m := range got[1:] {
+		require.Equal(t, got[n].Version, m.Base)
+	}
+	require.Equal(t, got[2].Base, got[2].Version, "a refresh changes nothing")
+	d.step(core.MessageReceived{From: "e1", Message: core.UpstreamListRequest{}})
+	complete := d.takeSent("e1")
+	require.Len(t, complete, 1)
+	require.Zero(t, complete[0].Base)
+	require.Equal(t, got[2].Version, complete[0].Version)
+	require.Len(t, complete[0].Seen, 2)
+	d.advance(40 * time.Second)
+	var removed []core.UpstreamID
+	version := complete[0].Version
+	for _, m := range d.takeSent("e1") {
+		require.Equal(t, version, m.Base)
+		removed, version = append(removed, m.Removed...), m.Version
+	}
+	require.ElementsMatch(t, []core.UpstreamID{"u", "v"}, removed)
 }
 
 func TestDeregistrationIsRepeated(t *testing.T) {
--- a/core/validate.go
+++ b/core/validate.go
@@ -151,5 +151,13 @@
 			return Fail(KindBadRequest, "upstream list: age is out of range")
 		}
 	}
+	for _, missing := range m.Missing {
+		if missing.Age < 0 || missing.Age > maxDuration {
+			return Fail(KindBadRequest, "upstream list: age is out of range")
+		}
+	}
+	if m.FreshFor < 0 || m.FreshFor > maxDuration {
+		return Fail(KindBadRequest, "upstream list: freshness is out of range")
+	}
 	return nil
 }
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -62,6 +62,7 @@
 	newWireType[core.PlacementClaimsResponse](38),
 	newWireType[core.ConfigRequest](39),
 	newWireType[core.ConfigUpdate](40),
+	newWireType[core.UpstreamListRequest](41),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -63,6 +63,7 @@
 	core.AssignmentMismatch{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleBoth, Addr: addr, Slots: 1, MemoryPages: 1}},
 	core.UpstreamList{Seen: []core.SeenUpstream{{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleService, Addr: addr, Slots: 1}, Age: time.Second}}, Deregistered: []core.UpstreamDeregistered{{ID: "u", Incarnation: 2}}},
 	core.PlacementQueued{Attempt: placementRequest.Attempt},
+	core.UpstreamListRequest{},
 }
 
 func TestMessagesRoundTrip(t *testing.T) {
