core/quota: an account's deputy grants tokens while the owner is away

Cause: without an owner each host had its share of the fallback rate. Change: one live entry host for each account, by rendezvous hashing, grants at the fallback rate from one bucket, if it knows most of the entry hosts as live. The lottery remains for hosts that reach no deputy.

--- a/core/message.go
+++ b/core/message.go
@@ -211,6 +211,8 @@
 	// Epoch is the term of the grants that the items settle.
 	Epoch Epoch              `cbor:"epoch"`
 	Items []QuotaRequestItem `cbor:"lines"`
+	// Fallback is true if the request goes to the account's deputy, because the owner is unresponsive.
+	Fallback bool `cbor:"fallback,omitempty"`
 }
 
 // QuotaRequestItem is the part of a QuotaRequest for one account.
@@ -246,6 +248,8 @@
 	Items []QuotaGrantItem `cbor:"lines"`
 	// InGracePeriod is true while a new owner grants nothing because its predecessor's grants have not expired.
 	InGracePeriod bool `cbor:"closed,omitempty"`
+	// Fallback is true if a deputy granted the tokens.
+	Fallback bool `cbor:"fallback,omitempty"`
 }
 
 // QuotaGrantItem is the part of a QuotaGrant for one account.
--- a/core/plugin.go
+++ b/core/plugin.go
@@ -123,6 +123,9 @@
 	// FallbackRateShare is the share of an account's rate that all hosts together may spend while the quota owner is
 	// unresponsive.
 	FallbackRateShare float64
+	// FallbackBurst is the number of tokens per account that the account's deputy grants at once while the quota owner
+	// is unresponsive. Zero means that there are no deputies.
+	FallbackBurst Tokens
 }
 
 // DefaultRetryBudget returns the budget of a host without settings for it.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -43,6 +43,14 @@
 	// fallback lottery has passed.
 	exhausted      bool
 	lotteryEntered bool
+	// deputySeq is the number of the request to the deputy, or zero; its response is awaited until deputyDeadline.
+	deputySeq      uint64
+	deputyDeadline time.Time
+}
+
+// awaitsDeputy reports whether the deputy may still respond.
+func (q *queuedRequest) awaitsDeputy(now time.Time) bool {
+	return q.deputySeq != 0 && now.Before(q.deputyDeadline)
 }
 
 // shortenDeadline limits the remaining wait to ExhaustedMaxWait, because no tokens are expected soon.
@@ -87,6 +95,7 @@
 	nextTick  time.Time
 	policy    core.QuotaPolicy
 	rand      *rand.Rand
+	members   []core.Member
 	// maxEntryHosts is the largest number of entry hosts seen at once; they share the overdraft and the fallback
 	// rate.
 	maxEntryHosts int
@@ -199,6 +208,12 @@
 	return &a.settlements[i]
 }
 
+// addGrant adds a grant in the order of expiry.
+func (a *localAccount) addGrant(g grant) {
+	a.grants = append(a.grants, g)
+	slices.SortStableFunc(a.grants, func(x, y grant) int { return x.expires.Compare(y.expires) })
+}
+
 func (a *localAccount) available() core.Tokens {
 	var sum core.Tokens
 	for _, g := range a.grants {
@@ -264,11 +279,16 @@
 		h.unansweredSince = t.Now
 	}
 	h.sentAt[request.Seq] = t.Now
-	for h.oldestSeq < h.lastSeq && t.Now.Sub(h.sentAt[h.oldestSeq]) >= LeaseDuration {
+	h.forgetOldRequests(t.Now)
+	t.Send(h.leader, request)
+}
+
+// forgetOldRequests removes the requests whose grants would have expired.
+func (h *holder) forgetOldRequests(now time.Time) {
+	for h.oldestSeq < h.lastSeq && now.Sub(h.sentAt[h.oldestSeq]) >= LeaseDuration {
 		delete(h.sentAt, h.oldestSeq)
 		h.oldestSeq++
 	}
-	t.Send(h.leader, request)
 }
 
 func (h *holder) denyTimedOut(t *core.Turn, a *localAccount) {
@@ -337,6 +357,10 @@
 		return
 	}
 	delete(h.sentAt, m.Seq)
+	if m.Fallback {
+		h.handleFallbackGrant(t, m, sentAt)
+		return
+	}
 	if !m.InGracePeriod {
 		h.unansweredSince = time.Time{}
 	}
@@ -364,10 +388,9 @@
 
 func (h *holder) addGrant(t *core.Turn, a *localAccount, seq uint64, sentAt time.Time, item core.QuotaGrantItem) {
 	if item.Granted = a.repayOverdraft(seq, item.Granted); item.Granted > 0 {
-		a.grants = append(a.grants, grant{
+		a.addGrant(grant{
 			seq: seq, amount: item.Granted, expires: sentAt.Add(core.HolderLeaseTime(LeaseDuration)), epoch: h.epoch,
 		})
-		slices.SortStableFunc(a.grants, func(x, y grant) int { return x.expires.Compare(y.expires) })
 	}
 	h.serveQueue(t, a)
 	if len(a.queue) == 0 && a.overdraft <= 0 {
--- a/core/quota/overdraft.go
+++ b/core/quota/overdraft.go
@@ -11,9 +11,10 @@
 // longer than a response takes under load and shorter than the timeouts of plain services' callers.
 const ownerTimeout = 400 * time.Millisecond
 
-// countHosts updates the largest number of entry hosts seen at once. The number never falls, so an isolated
+// membersChanged updates the largest number of entry hosts seen at once. The number never falls, so an isolated
 // host doesn't claim the other hosts' shares of the overdraft and the fallback rate.
-func (h *holder) countHosts(members []core.Member) {
+func (h *holder) membersChanged(members []core.Member) {
+	h.members = members
 	h.maxEntryHosts = max(h.maxEntryHosts, core.CountEntryHosts(members))
 }
 
@@ -83,6 +84,7 @@
 	// second.
 	a.overdraft = max(a.overdraft, -core.Tokens(rate))
 	h.serveQueue(t, a)
+	h.askDeputy(t, id, a)
 	h.admitByLottery(t, a)
 	for i := range a.queue {
 		a.queue[i].shortenDeadline(t.Now)
@@ -92,11 +94,15 @@
 // admitByLottery admits some of the requests that cost more than this host's overdraft limit: with many hosts, each
 // host's share of the rate is smaller than one large request. A request stakes all tokens that the host may spend and
 // wins its full cost with probability stake/cost. The expected spending over all hosts is thus the fallback rate; the
-// deviation grows with the square root of the number of winners. Each request enters at most once.
+// deviation grows with the square root of the number of winners. Each request enters at most once, after its deputy has
+// refused it or not responded.
 func (h *holder) admitByLottery(t *core.Turn, a *localAccount) {
-	a.queue = slices.DeleteFunc(a.queue, func(q queuedRequest) bool { return !q.lotteryEntered && h.enterLottery(t, a, &q) })
+	a.queue = slices.DeleteFunc(a.queue, func(q queuedRequest) bool {
+		return !q.lotteryEntered && !q.awaitsDeputy(t.Now) && h.enterLottery(t, a, &q)
+	})
 	for i := range a.queue {
-		a.queue[i].lotteryEntered = a.queue[i].lotteryEntered || a.queue[i].cost > h.maxOverdraft()
+		q := &a.queue[i]
+		q.lotteryEntered = q.lotteryEntered || (q.cost > h.maxOverdraft() && !q.awaitsDeputy(t.Now))
 	}
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,6 +11,7 @@
 type component struct {
 	holder holder
 	owner  owner
+	deputy deputy
 }
 
 func init() { core.Register(Plugin(false)) }
@@ -32,6 +33,7 @@
 			skipGracePeriod: skipGracePeriod, initialTokens: env.Quota.InitialTokens, config: emptyConfig,
 			verifyQueue: core.VerifyQueue[pendingRequest]{ID: core.VerifyQueueQuota},
 		},
+		deputy: newDeputy(env.Quota, emptyConfig),
 	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
@@ -39,13 +41,14 @@
 func (c *component) handle(t *core.Turn, ev core.Event) {
 	switch e := ev.(type) {
 	case core.ConfigActivated:
-		c.holder.config, c.owner.config = e.Config, e.Config
+		c.holder.config, c.owner.config, c.deputy.config = e.Config, e.Config, e.Config
 	case core.ConfigCommitted:
 		c.owner.configCommitted(t, e)
 	case core.LeaseLeaderChanged:
 		c.holder.leader = e.Leader
 	case core.MembersChanged:
-		c.holder.countHosts(e.Members)
+		c.holder.membersChanged(e.Members)
+		c.deputy.membersChanged(e.Members)
 	case core.LeaderChanged:
 		c.owner.leaderChanged(t, e)
 	case core.LeaderVerified:
@@ -68,6 +71,10 @@
 func (c *component) handleMessage(t *core.Turn, from core.HostID, m core.Message) {
 	switch m := m.(type) {
 	case core.QuotaRequest:
+		if m.Fallback {
+			c.deputy.handleRequest(t, from, m)
+			return
+		}
 		c.owner.handleRequest(t, from, m)
 	case core.QuotaGrant:
 		c.holder.handleGrant(t, m)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -99,6 +99,9 @@
 	// initialTokensDivisor divides the slack; a new quota owner starts with the result. Three successive leaders then stay
 	// within the half that the overdraft leaves.
 	initialTokensDivisor = 6
+	// fallbackBurstDivisor divides the slack; an account's deputy grants the result at once while the quota owner does not
+	// respond. The owner grants nothing in that time, so the account's own burst leaves room for it.
+	fallbackBurstDivisor = 7
 	// fallbackRateShare is the part of the rates that hosts may spend while the quota owner does not respond to them. It is
 	// below 1 since the owner may still grant tokens to other hosts.
 	fallbackRateShare = 0.5
@@ -137,6 +140,7 @@
 	env.Quota.InitialTokens = core.Tokens(s.Quota.Slack / initialTokensDivisor)
 	if s.ServeStale {
 		env.Quota.FallbackRateShare = fallbackRateShare
+		env.Quota.FallbackBurst = core.Tokens(s.Quota.Slack / fallbackBurstDivisor)
 	}
 	env.AssignDelay = s.AssignDelay.Duration
 	env.UpstreamHeartbeatTimeout = missedHeartbeats * s.UpstreamHeartbeatInterval.Duration
