core/dispatch: hosts tell each other which upstreams fail

Cause: for plain services each host has its own circuit breaker, which opens after three failures in a row. Change: hosts spread the failures that they see. Two hosts' failures within a second make non-repeatable calls avoid the upstream for three seconds, three make all calls avoid it for two; at most half of a pool is avoided.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"oleanderlever/core"
 )
@@ -39,10 +40,15 @@
 
 // chooseDecode selects the upstream with the lowest load plus penalty for another data centre that has a free slot and
 // enough memory. An upstream in Avoid is selected only if no other fits and the pool has no more decode candidates than
-// Avoid has entries; otherwise the attempt waits for another upstream.
-func (p *pool) chooseDecode(item *queueItem, memory core.Tokens) (selection, placeResult) {
-	var fitting, avoided selection
+// Avoid has entries; otherwise the attempt waits for another upstream. A suspected upstream of a plain service is selected
+// if no other has a free slot.
+func (p *pool) chooseDecode(item *queueItem, memory core.Tokens, now time.Time) (selection, placeResult) {
+	var fitting, avoided, suspect selection
 	examined, slotFree := 0, false
+	var suspected map[core.UpstreamID]bool
+	if item.request.PlainService {
+		suspected = p.suspectedUpstreams(item.request.Repeatable, now)
+	}
 	p.decodeCandidates.Ascend(func(u *upstream) bool {
 		if examined++; u.reservedSlots >= u.Slots || examined > maxExamined {
 			return false
@@ -51,13 +57,19 @@
 		if item.request.PlainService == (u.Role == core.RoleService) &&
 			(item.request.PlainService || p.fits(item.request.LocalLoad, u, memory)) {
 			into := &fitting
-			if slices.Contains(item.request.Avoid, u.ID) {
+			switch {
+			case slices.Contains(item.request.Avoid, u.ID):
 				into = &avoided
+			case suspected[u.ID]:
+				into = &suspect
 			}
 			into.add(u, u.load+decodePenalty(u, item.request.DataCentre))
 		}
 		return !fitting.hasEnough()
 	})
+	if fitting.best == nil {
+		fitting = suspect
+	}
 	if fitting.best == nil && p.decodeCandidates.Len() <= len(item.request.Avoid) {
 		fitting = avoided
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -98,6 +98,8 @@
 		c.handleUpdate(t, m)
 	case core.UpstreamList:
 		c.handleUpstreamList(t, from, m)
+	case core.UpstreamSuspected:
+		c.handleSuspicion(t, m)
 	case core.PlacementRequest:
 		c.handleRequest(t, from, m)
 	case core.PlacementClaim:
@@ -270,6 +272,7 @@
 
 func (c *component) sweepPool(t *core.Turn, pl *pool) {
 	pl.removeStale(t.Now)
+	pl.forgetSuspicions(t.Now)
 	pl.refreshAll(t.Now, c.config.Policy(pl.id))
 	c.balanceRoles(t, pl)
 	if len(pl.upstreams) > 0 {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -49,6 +49,8 @@
 	lastRequest        time.Time
 	awaitingClaimsFrom map[core.HostID]bool
 	claimsDeadline     time.Time
+	// suspicions has the upstreams of a plain service at which calls of several hosts failed.
+	suspicions map[core.UpstreamID]*suspicion
 	// emptySince is since when the pool has had no upstream.
 	emptySince time.Time
 	// engine is the configuration of the pool's engines, or nil; kvBlockTokens is the allocation unit of their memory.
@@ -104,7 +106,7 @@
 		prefillCandidates: ordered.Heap[*upstream]{
 			Index: func(u *upstream) *int { return &u.prefillIndex }, Less: shorterPrefill,
 		},
-		enginesByPrefix: map[uint64][]core.UpstreamID{},
+		enginesByPrefix: map[uint64][]core.UpstreamID{}, suspicions: map[core.UpstreamID]*suspicion{},
 	}
 }
 
@@ -200,7 +202,7 @@
 // there is one.
 func (p *pool) place(item *queueItem, now time.Time, epoch core.Epoch) (*reservation, selection, placeResult) {
 	memory := p.memoryNeeded(&item.request)
-	decode, result := p.chooseDecode(item, memory)
+	decode, result := p.chooseDecode(item, memory, now)
 	if result != placeOK {
 		return nil, decode, result
 	}
--- a/core/dispatch/release.go
+++ b/core/dispatch/release.go
@@ -65,6 +65,9 @@
 			u.misdirected, u.misdirectedAt, reason = true, t.Now, "the upstream has a different identity or role than announced"
 		} else {
 			u.recordFailure(t.Now)
+			if c.localPlacement && r.request.PlainService {
+				c.reportFailure(t, pl, u)
+			}
 		}
 		pl.refresh(u, t.Now, c.config.Policy(pl.id))
 		t.LogDecision(core.Decision{
--- /dev/null
+++ b/core/dispatch/suspicion.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderlever/core"
+)
+
+// With hundreds of hosts, each sends a dead or faulty upstream one call after the other before its own circuit breaker
+// opens, and calls that must not be repeated are lost. So hosts tell each other which upstreams of plain services failed
+// their calls, and avoid those that several have failed at.
+const (
+	// witnessTTL is how long a failure counts.
+	witnessTTL = time.Second
+	// unsafeWitnesses is the number of hosts with a failure at which calls that must not be repeated avoid an upstream for
+	// unsafeAvoidance, repeatableWitnesses and repeatableAvoidance the same for other calls. The latter are shorter, so
+	// that calls which can be repeated try the upstream first.
+	unsafeWitnesses     = 2
+	unsafeAvoidance     = 3 * time.Second
+	repeatableWitnesses = 3
+	repeatableAvoidance = 2 * time.Second
+	// maxAvoidedRatio is the part of a pool that is avoided at most: if more upstreams seem to fail, something else has.
+	maxAvoidedRatio = 0.5
+	// suspicionFanout is the number of hosts that a host tells of a failure that is new to it.
+	suspicionFanout = 4
+)
+
+// suspicion is what this host knows of the failures at one upstream.
+type suspicion struct {
+	incarnation uint64
+	// witnesses has the time of each host's latest failure.
+	witnesses       map[core.HostID]time.Time
+	avoidUnsafe     time.Time
+	avoidRepeatable time.Time
+}
+
+// isSuspected reports whether a call should avoid an upstream.
+func (p *pool) isSuspected(u *upstream, repeatable bool, now time.Time) bool {
+	s := p.suspicions[u.ID]
+	if s == nil || s.incarnation != u.Incarnation {
+		return false
+	}
+	if repeatable {
+		return now.Before(s.avoidRepeatable)
+	}
+	return now.Before(s.avoidUnsafe)
+}
+
+// suspectedUpstreams returns the upstreams that a call should avoid, or none if they are too many of the pool.
+func (p *pool) suspectedUpstreams(repeatable bool, now time.Time) map[core.UpstreamID]bool {
+	if len(p.suspicions) == 0 {
+		return nil
+	}
+	suspected := map[core.UpstreamID]bool{}
+	for id := range p.suspicions {
+		if u := p.upstreams[id]; u != nil && p.isSuspected(u, repeatable, now) {
+			suspected[id] = true
+		}
+	}
+	if float64(len(suspected)) > maxAvoidedRatio*float64(len(p.upstreams)) {
+		return nil
+	}
+	return suspected
+}
+
+// reportFailure records a failure of this host's own call and tells other hosts. A host at which most upstreams of the
+// pool fail is probably itself the cause, so it tells nobody.
+func (c *component) reportFailure(t *core.Turn, pl *pool, u *upstream) {
+	failing := 1
+	for id, s := range pl.suspicions {
+		if at, ok := s.witnesses[c.self]; ok && id != u.ID && t.Now.Sub(at) < witnessTTL {
+			failing++
+		}
+	}
+	if failing > 1 && float64(failing) > maxAvoidedRatio*float64(len(pl.upstreams)) {
+		return
+	}
+	c.addWitnesses(t, pl, u, []core.Witness{{Host: c.self}})
+}
+
+// handleSuspicion records the failures that other hosts have seen.
+func (c *component) handleSuspicion(t *core.Turn, m core.UpstreamSuspected) {
+	if u := c.findUpstream(m.Pool, m.Upstream); u != nil && u.Incarnation == m.Incarnation {
+		c.addWitnesses(t, c.pools[m.Pool], u, m.Witnesses)
+	}
+}
+
+// addWitnesses adds failures at an upstream. If one of them is new to this host and may change what others do, it passes
+// them on.
+func (c *component) addWitnesses(t *core.Turn, pl *pool, u *upstream, witnesses []core.Witness) {
+	s := pl.suspicions[u.ID]
+	if s == nil || s.incarnation != u.Incarnation {
+		s = &suspicion{incarnation: u.Incarnation, witnesses: map[core.HostID]time.Time{}}
+		pl.suspicions[u.ID] = s
+	}
+	maps.DeleteFunc(s.witnesses, func(_ core.HostID, at time.Time) bool { return t.Now.Sub(at) >= witnessTTL })
+	before, added := len(s.witnesses), false
+	for _, w := range witnesses {
+		if _, known := s.witnesses[w.Host]; !known && w.Age < witnessTTL && len(s.witnesses) < repeatableWitnesses {
+			s.witnesses[w.Host] = t.Now.Add(-w.Age)
+			added = true
+		}
+	}
+	if len(s.witnesses) >= unsafeWitnesses {
+		s.avoidUnsafe = t.Now.Add(unsafeAvoidance)
+	}
+	if len(s.witnesses) >= repeatableWitnesses {
+		s.avoidRepeatable = t.Now.Add(repeatableAvoidance)
+	}
+	if !added {
+		return
+	}
+	c.spreadSuspicion(t, pl, u, s)
+	if len(s.witnesses) >= unsafeWitnesses && before < len(s.witnesses) {
+		t.LogDecision(core.Decision{
+			Component: "dispatch", Choice: "avoid", Reason: "calls of several hosts failed at the upstream", Pool: pl.id,
+			Target: string(u.ID), Score: float64(len(s.witnesses)),
+		})
+	}
+}
+
+func (c *component) spreadSuspicion(t *core.Turn, pl *pool, u *upstream, s *suspicion) {
+	m := core.UpstreamSuspected{Pool: pl.id, Upstream: u.ID, Incarnation: u.Incarnation}
+	for _, h := range slices.Sorted(maps.Keys(s.witnesses)) {
+		m.Witnesses = append(m.Witnesses, core.Witness{Host: h, Age: t.Now.Sub(s.witnesses[h])})
+	}
+	var others []core.HostID
+	for i := range c.members {
+		if c.members[i].Entry && c.members[i].Host != c.self {
+			others = append(others, c.members[i].Host)
+		}
+	}
+	for range min(suspicionFanout, len(others)) {
+		i := c.rand.IntN(len(others))
+		t.Send(others[i], m)
+		others = slices.Delete(others, i, i+1)
+	}
+}
+
+// forgetSuspicions removes what has expired.
+func (p *pool) forgetSuspicions(now time.Time) {
+	maps.DeleteFunc(p.suspicions, func(id core.UpstreamID, s *suspicion) bool {
+		for _, at := range s.witnesses {
+			if now.Sub(at) < witnessTTL {
+				return false
+			}
+		}
+		return p.upstreams[id] == nil || !(now.Before(s.avoidUnsafe) || now.Before(s.avoidRepeatable))
+	})
+}
--- a/core/dispatch/upstreamlist_test.go
+++ b/core/dispatch/upstreamlist_test.go
@@ -35,13 +35,16 @@
 	return core.SeenUpstream{Announcement: a}
 }
 
-// usable returns the upstreams that get calls now.
-func (d *driver) usable(number int) map[core.UpstreamID]bool {
+// usable returns the upstreams that get calls now which may be repeated.
+func (d *driver) usable(number int) map[core.UpstreamID]bool { return d.called(number, true) }
+
+// called returns the upstreams that get calls now.
+func (d *driver) called(number int, repeatable bool) map[core.UpstreamID]bool {
 	out := map[core.UpstreamID]bool{}
 	for n := range 20 {
 		r := core.PlacementRequest{
 			Attempt: attempt(1000*number + n), Boot: 1, Account: "a", Pool: "desk", Weight: 1, PlainService: true,
-			Remaining: time.Millisecond, LocalLoad: &core.LocalLoad{EntryHosts: 1},
+			Repeatable: repeatable, Remaining: time.Millisecond, LocalLoad: &core.LocalLoad{EntryHosts: 1},
 		}
 		d.step(core.MessageReceived{From: "e", Message: r})
 		if g, ok := d.grants[r.Attempt]; ok {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -112,7 +112,7 @@
 		Boot:    boot,
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		PromptTokens: r.PromptTokens + r.relayedTokens, OutputTokens: r.remainingOutput(), PrefixHashes: r.PrefixHashes,
-		PlainService: r.plainService, Avoid: r.avoid, Remaining: r.maxPlacementWait(now), Urgent: r.relayedTokens > 0,
+		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now), Urgent: r.relayedTokens > 0,
 	}
 	r.grant = core.PlacementGrant{}
 	r.otherDispatchers = nil
--- a/core/message.go
+++ b/core/message.go
@@ -276,6 +276,8 @@
 	PrefixHashes []uint64  `cbor:"blocks"`
 	// PlainService is true if the attempt needs a slot but no engine memory.
 	PlainService bool `cbor:"service"`
+	// Repeatable is true if the call may be executed more than once.
+	Repeatable bool `cbor:"repeatable,omitempty"`
 	// DataCentre is the entry host's data centre if upstreams in it are preferred, or empty.
 	DataCentre DataCentre `cbor:"dataCentre,omitempty"`
 	// Avoid lists the upstreams on which earlier attempts failed.
@@ -420,6 +422,20 @@
 	Age time.Duration `cbor:"age"`
 }
 
+// UpstreamSuspected tells an entry host whose calls an upstream has failed; each host passes on what is new to it.
+type UpstreamSuspected struct {
+	Pool        PoolID     `cbor:"pool"`
+	Upstream    UpstreamID `cbor:"upstream"`
+	Incarnation uint64     `cbor:"incarnation"`
+	Witnesses   []Witness  `cbor:"witnesses"`
+}
+
+// Witness is a host whose call failed, with the time since then.
+type Witness struct {
+	Host HostID        `cbor:"host"`
+	Age  time.Duration `cbor:"age"`
+}
+
 // UpstreamListRequest asks for the complete list, because a change of it was lost.
 type UpstreamListRequest struct{}
 
--- a/core/validate.go
+++ b/core/validate.go
@@ -48,6 +48,8 @@
 		return m.validate()
 	case AssignmentMismatch:
 		return m.Announcement.Validate()
+	case UpstreamSuspected:
+		return m.validate()
 	}
 	return nil
 }
@@ -142,6 +144,21 @@
 	return Fail(KindBadRequest, "upstream update: has neither an announcement nor a report")
 }
 
+func (m *UpstreamSuspected) validate() error {
+	if len(m.Witnesses) > maxListLength {
+		return Fail(KindBadRequest, "suspected upstream: too many witnesses")
+	}
+	for _, w := range m.Witnesses {
+		if w.Age < 0 || w.Age > maxDuration {
+			return Fail(KindBadRequest, "suspected upstream: age is out of range")
+		}
+		if err := ValidateName("suspected.witness", string(w.Host)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m *UpstreamList) validate() error {
 	for i := range m.Seen {
 		if err := m.Seen[i].Announcement.Validate(); err != nil {
