--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -393,6 +393,9 @@
 		}
 		seen[l.addr] = l.name
 	}
+	if h.Platform.Control.IsValid() && h.Listen.Upstreams.IsValid() {
+		return "listen.upstreams", "must not be set with platform.control: engines would get each assign request twice"
+	}
 	return "", ""
 }
 
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{"negative memory", "platform.toml", "memoryMB = 280", "memoryMB = -1", "line 16: memoryMB"},
 		{"negative slack", "platform.toml", "slack = 140000", "slack = -5", "line 27: quota.slack"},
 		{"listener without credentials", "platform.toml", "trustNetwork = true", "trustNetwork = false", "line 19: listen.hosts"},
+		{"two protocols for upstreams", "platform.toml", "[listen]", "[listen]\nupstreams = \"10.1.0.28:8231\"", "line 19: listen.upstreams"},
 		{"body limit too small", "single.toml", "maxBodyBytes = 8388608", "maxBodyBytes = 5", "line 18: requests.maxBodyBytes"},
 	} {
 		text := readExample(t, c.file)
