core/quota, core/dispatch: the deputy is asked in time; failures are logged once

Change: 250 ms, with a timer of its own. An avoidance is logged and passed on when it starts or is extended by a second.

--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -96,29 +96,41 @@
 		pl.suspicions[u.ID] = s
 	}
 	maps.DeleteFunc(s.witnesses, func(_ core.HostID, at time.Time) bool { return t.Now.Sub(at) >= witnessTTL })
-	before, added := len(s.witnesses), false
+	added := false
 	for _, w := range witnesses {
 		if _, known := s.witnesses[w.Host]; !known && w.Age < witnessTTL && len(s.witnesses) < repeatableWitnesses {
 			s.witnesses[w.Host] = t.Now.Add(-w.Age)
 			added = true
 		}
 	}
-	if len(s.witnesses) >= unsafeWitnesses {
-		s.avoidUnsafe = t.Now.Add(unsafeAvoidance)
-	}
-	if len(s.witnesses) >= repeatableWitnesses {
-		s.avoidRepeatable = t.Now.Add(repeatableAvoidance)
-	}
-	if !added {
-		return
-	}
-	c.spreadSuspicion(t, pl, u, s)
-	if len(s.witnesses) >= unsafeWitnesses && before < len(s.witnesses) {
+	began := s.avoid(t.Now)
+	if began {
 		t.LogDecision(core.Decision{
 			Component: "dispatch", Choice: "avoid", Reason: "calls of several hosts failed at the upstream", Pool: pl.id,
 			Target: string(u.ID), Score: float64(len(s.witnesses)),
 		})
 	}
+	if added && (began || len(s.witnesses) < repeatableWitnesses) {
+		c.spreadSuspicion(t, pl, u, s)
+	}
+}
+
+// avoid starts or extends the avoidance that the number of witnesses calls for, and reports whether it starts or is
+// extended by witnessTTL at least; less is not worth telling others.
+func (s *suspicion) avoid(now time.Time) (began bool) {
+	for _, a := range []struct {
+		until     *time.Time
+		witnesses int
+		duration  time.Duration
+	}{{&s.avoidUnsafe, unsafeWitnesses, unsafeAvoidance}, {&s.avoidRepeatable, repeatableWitnesses, repeatableAvoidance}} {
+		if len(s.witnesses) < a.witnesses {
+			continue
+		}
+		if until := now.Add(a.duration); until.Sub(*a.until) >= witnessTTL {
+			*a.until, began = until, true
+		}
+	}
+	return began
 }
 
 func (c *component) spreadSuspicion(t *core.Turn, pl *pool, u *upstream, s *suspicion) {
--- a/core/quota/deputy_test.go
+++ b/core/quota/deputy_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,6 +56,27 @@
 	}
 }
 
+// With many hosts, each has one request while the owner is away. Even the first one on a host is served within 300 ms,
+// the latency target of plain calls.
+func TestFirstRequestOfEachHostIsServedWithoutAnOwner(t *testing.T) {
+	const cost, maxWait = core.Tokens(15), 300 * time.Millisecond
+	f := newDeputyFleet(1, 0)
+	f.RunFor(time.Second)
+	for _, h := range f.Hosts[:3] {
+		f.Crash(h)
+	}
+	before := len(f.charges)
+	for _, h := range f.Hosts[3:] {
+		f.nextID++
+		id := core.RequestID(fmt.Sprintf("r%d", f.nextID))
+		f.costs[id] = cost
+		f.Post(h, core.AcquireQuota{Request: id, Account: "a", Cost: cost, MaxWait: maxWait})
+		f.RunFor(10 * time.Millisecond)
+	}
+	f.RunFor(maxWait)
+	require.Equal(t, len(f.Hosts)-3, len(f.charges)-before)
+}
+
 // Two sides of a partition must not both have a deputy: only the side with most of the entry hosts does.
 func TestMinorityHasNoDeputy(t *testing.T) {
 	const cost = core.Tokens(400)
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -266,18 +266,24 @@
 
 // noLeader reports whether the leader is unknown, which counts as an unanswered request.
 func (h *holder) noLeader(t *core.Turn) bool {
-	if h.leader == "" && h.unansweredSince.IsZero() {
-		h.unansweredSince = t.Now
+	if h.leader == "" {
+		h.markUnanswered(t)
 	}
 	return h.leader == ""
 }
 
-func (h *holder) send(t *core.Turn, request core.QuotaRequest) {
-	h.lastSeq++
-	request.Seq = h.lastSeq
+// markUnanswered starts the time after which the owner counts as unresponsive, unless it has started.
+func (h *holder) markUnanswered(t *core.Turn) {
 	if h.unansweredSince.IsZero() {
 		h.unansweredSince = t.Now
+		h.nextTick = core.Earlier(h.nextTick, t.Now.Add(ownerTimeout))
 	}
+}
+
+func (h *holder) send(t *core.Turn, request core.QuotaRequest) {
+	h.lastSeq++
+	request.Seq = h.lastSeq
+	h.markUnanswered(t)
 	h.sentAt[request.Seq] = t.Now
 	h.forgetOldRequests(t.Now)
 	t.Send(h.leader, request)
--- a/core/quota/overdraft.go
+++ b/core/quota/overdraft.go
@@ -8,8 +8,9 @@
 )
 
 // ownerTimeout is how long a request to the owner may stay unanswered before this host uses its fallback rate. It is
-// longer than a response takes under load and shorter than the timeouts of plain services' callers.
-const ownerTimeout = 400 * time.Millisecond
+// longer than a response takes under load. A request that waits for it must still reach its latency target: with many
+// hosts, most hosts have only one request of an account while the owner is away.
+const ownerTimeout = 250 * time.Millisecond
 
 // membersChanged updates the largest number of entry hosts seen at once. The number never falls, so an isolated
 // host doesn't claim the other hosts' shares of the overdraft and the fallback rate.
