--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -419,10 +419,17 @@
 		t.Post(core.RecordOutcome{Request: r.ID, Key: r.recordKey, ContentHash: r.ContentHash, Attempt: r.recordAttempt(), State: state})
 	}
 	t.LogDecision(core.Decision{Component: "entry", Choice: "refuse", Reason: f.Error(), Request: r.ID, Attempt: r.placement.Attempt.Number, Account: r.account.ID, Pool: r.pool})
+	if f.RetryAfter > 0 && !r.Deadline.IsZero() {
+		f.RetryAfter = min(f.RetryAfter, max(0, r.Deadline.Sub(t.Now))/maxRetryWaitDivisor)
+	}
 	t.Emit(core.RefuseRequest{Request: r.ID, Failure: f})
 	c.remove(t, r)
 }
 
+// maxRetryWaitDivisor divides the time that a caller has left; it is not asked to wait longer before it tries again, so that
+// the next attempt has time to be served.
+const maxRetryWaitDivisor = 3
+
 func (c *component) finish(t *core.Turn, r *request) {
 	c.retryBucketOf(r.pool).earn(c.retryPolicy, c.maxEntryHosts)
 	t.LogDecision(core.Decision{
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -110,6 +110,8 @@
 	// NotExecuted is true only if no byte of an attempt can have reached an upstream, or the upstream said that it
 	// did not execute the request.
 	NotExecuted bool `cbor:"notRun" json:"notRun"`
+	// RetryAfter is how long the caller should wait before it tries again; zero means the default of the kind.
+	RetryAfter time.Duration `cbor:"retryAfter,omitempty" json:"-"`
 }
 
 // Error returns the kind's name and the message.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -73,6 +73,8 @@
 	consumed        core.Tokens
 	lastUsed        time.Time
 	demandUpdatedAt time.Time
+	// refillWait is how long the owner expected the account's tokens to take when it last granted too few.
+	refillWait time.Duration
 	// nextRequest is the earliest time to request tokens from the owner again.
 	nextRequest time.Time
 	// overdraft is the number of tokens spent before they were granted; fallbackAppliedAt is when the fallback rate
@@ -302,15 +304,26 @@
 		if !core.Due(q.deadline, t.Now) {
 			return false
 		}
-		failure := core.Fail(core.KindNotReady, "the quota owner did not grant tokens in time")
+		failure, wait := core.Fail(core.KindNotReady, "the quota owner did not grant tokens in time"), LeaseDuration
 		if q.exhausted {
-			failure = core.Fail(core.KindRateLimited, "the client account exceeded its rate limit")
+			failure, wait = core.Fail(core.KindRateLimited, "the client account exceeded its rate limit"), a.refillWait
 		}
+		failure.RetryAfter = h.spreadRetry(wait)
 		h.deny(t, q.request, failure)
 		return true
 	})
 }
 
+// minRetryAfter is the shortest wait before a denied caller should try again.
+const minRetryAfter = 200 * time.Millisecond
+
+// spreadRetry returns a random wait between the given one and twice as long. The callers that one shortage turns away would
+// otherwise return together and cause the next one.
+func (h *holder) spreadRetry(wait time.Duration) time.Duration {
+	wait = max(minRetryAfter, wait)
+	return wait + time.Duration(h.rand.Float64()*float64(wait))
+}
+
 // requestItem returns the account's item of a request and resets the amounts that it settles. It reports false if the
 // item is empty.
 func (a *localAccount) requestItem(now time.Time, id core.AccountID, epoch core.Epoch) (core.QuotaRequestItem, bool) {
@@ -407,6 +420,7 @@
 			a.queue[i].markExhausted(t.Now)
 		}
 	}
+	a.refillWait = item.RetryAfter
 	a.nextRequest = t.Now.Add(min(item.RetryAfter, requestInterval))
 	if item.RetryAfter < requestInterval {
 		h.nextTick = core.Earlier(h.nextTick, t.Now.Add(max(item.RetryAfter, time.Millisecond)))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,7 +37,9 @@
 	charges  []charge
 	costs    map[core.RequestID]core.Tokens
 	denied   map[core.Kind]int
-	nextID   int
+	// retryWaits are the waits that denied requests were told.
+	retryWaits []time.Duration
+	nextID     int
 }
 
 // observe returns a plug-in that records the quota component's results.
@@ -48,6 +51,7 @@
 				f.charges = append(f.charges, charge{at: f.Now, cost: f.costs[e.Request]})
 			case core.QuotaDenied:
 				f.denied[e.Failure.Kind]++
+				f.retryWaits = append(f.retryWaits, e.Failure.RetryAfter)
 			}
 		}}
 	}}
@@ -237,6 +241,23 @@
 	require.Positive(t, f.denied[core.KindRateLimited])
 }
 
+// The callers that an account over its rate has turned away at the same moment must not return at the same moment, and not
+// before it has tokens for any of them.
+func TestDeniedCallersReturnSpreadOut(t *testing.T) {
+	const cost = core.Tokens(500)
+	f := newFleet(nineHosts(1), false)
+	f.RunFor(4 * time.Second)
+	for range 60 {
+		f.acquire(f.Hosts[3+f.Rand.IntN(6)], cost)
+	}
+	f.RunFor(time.Second)
+	require.Greater(t, len(f.retryWaits), 30)
+	shortest, longest := slices.Min(f.retryWaits), slices.Max(f.retryWaits)
+	require.GreaterOrEqual(t, shortest, 200*time.Millisecond)
+	require.Greater(t, longest-shortest, 200*time.Millisecond)
+	require.LessOrEqual(t, longest, 20*time.Second)
+}
+
 // No window exceeds the rate for any order of requests, crashes, boots and delays.
 func TestRateLimitHoldsForAnyEventOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"strconv"
@@ -77,7 +78,7 @@
 func writeError(ctx *fasthttp.RequestCtx, id core.RequestID, f *core.Failure) {
 	ctx.SetStatusCode(Status(f.Kind))
 	ctx.SetContentType(contentJSON)
-	if retryAfter := f.Kind.Info().RetryAfter; retryAfter > 0 {
+	if retryAfter := cmp.Or(f.RetryAfter, f.Kind.Info().RetryAfter); retryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
 	if f.Kind == core.KindNoKey || f.Kind == core.KindBadKey {
