--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -109,6 +109,8 @@
 	// unansweredSince is when the first request since the owner's last response was sent, or zero if there is none.
 	// Responses during a grace period don't count.
 	unansweredSince time.Time
+	// ownerTimeoutAt is when the owner counts as unresponsive, or zero if it does already or no request is unanswered.
+	ownerTimeoutAt time.Time
 }
 
 // markExhausted records that the owner reported the account's bucket as empty, and shortens the wait.
@@ -243,9 +245,13 @@
 }
 
 func (h *holder) tick(t *core.Turn) {
-	if !core.Due(h.nextTick, t.Now) {
+	timedOut := core.Due(h.ownerTimeoutAt, t.Now)
+	if !timedOut && !core.Due(h.nextTick, t.Now) {
 		return
 	}
+	if timedOut {
+		h.ownerTimeoutAt = time.Time{}
+	}
 	h.nextTick = time.Time{}
 	request := core.QuotaRequest{Boot: h.boot, Epoch: h.epoch}
 	for _, id := range slices.Sorted(maps.Keys(h.accounts)) {
@@ -277,8 +283,7 @@
 // markUnanswered starts the time after which the owner counts as unresponsive, unless it has started.
 func (h *holder) markUnanswered(t *core.Turn) {
 	if h.unansweredSince.IsZero() {
-		h.unansweredSince = t.Now
-		h.nextTick = core.Earlier(h.nextTick, t.Now.Add(ownerTimeout))
+		h.unansweredSince, h.ownerTimeoutAt = t.Now, t.Now.Add(ownerTimeout)
 	}
 }
 
@@ -381,7 +386,7 @@
 		return
 	}
 	if !m.InGracePeriod {
-		h.unansweredSince = time.Time{}
+		h.unansweredSince, h.ownerTimeoutAt = time.Time{}, time.Time{}
 	}
 	if m.Epoch != h.epoch {
 		h.startTerm(m.Epoch)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -81,7 +81,9 @@
 	}
 }
 
-func (c *component) nextDeadline() time.Time { return c.holder.nextTick }
+func (c *component) nextDeadline() time.Time {
+	return core.Earlier(c.holder.nextTick, c.holder.ownerTimeoutAt)
+}
 
 func (c *component) gauges(set func(string, int64)) {
 	set("accountsAtHand", int64(len(c.holder.accounts)))
