--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -120,16 +120,14 @@
 		return append([]byte(nil), ctx.PostBody()...), nil
 	}
 	body, err := http1.ReadAll(stream, limit, memory)
-	switch {
-	case errors.Is(err, http1.ErrTooLong):
-		return nil, core.Fail(core.KindBodyTooLarge, "the body is longer than %d bytes", limit)
-	case errors.Is(err, http1.ErrNoMemory):
-		return nil, &core.Failure{Kind: core.KindOverloaded, Message: err.Error(), NotExecuted: true}
-	case err != nil:
+	if err == nil {
+		return body, nil
+	}
+	f := http1.BodyFailure(err, limit)
+	if f.Kind == core.KindBadRequest {
 		ctx.SetConnectionClose()
-		return nil, core.Fail(core.KindBadRequest, "the body could not be read: %v", err)
 	}
-	return body, nil
+	return nil, f
 }
 
 // refuse responds with a failure to a request that is not started, and releases its memory.
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"oleanderlever/core"
 )
 
 const (
@@ -61,6 +63,33 @@
 	return readAll(Body(br, contentLength), min(contentLength+1, maxFirstReadBytes), contentLength, lease)
 }
 
+// ReadRequestBody reads the body of a request whose header has been read, and sets it without a copy. The failure says
+// whether the body is too long, malformed or without room in the host's memory.
+func (r *Reader) ReadRequestBody(req *fasthttp.Request, limit int, lease *MemoryLease) *core.Failure {
+	length := req.Header.ContentLength()
+	if length < chunkedLength {
+		// A request has no body that ends with its connection.
+		return nil
+	}
+	body, err := ReadBody(r.Buffered, length, limit, lease)
+	if err != nil {
+		return BodyFailure(err, limit)
+	}
+	req.SetBodyRaw(body)
+	return nil
+}
+
+// BodyFailure returns the failure for a caller whose body could not be read with the given limit.
+func BodyFailure(err error, limit int) *core.Failure {
+	switch {
+	case errors.Is(err, ErrTooLong):
+		return core.Fail(core.KindBodyTooLarge, "the body is longer than %d bytes", limit)
+	case errors.Is(err, ErrNoMemory):
+		return core.Fail(core.KindOverloaded, "%v", err)
+	}
+	return core.Fail(core.KindBadRequest, "the body could not be read: %v", err)
+}
+
 // ReadAll reads at most limit bytes up to io.EOF, which count against the lease.
 func ReadAll(r io.Reader, limit int, lease *MemoryLease) ([]byte, error) {
 	return readAll(r, firstReadBytes, limit, lease)
