--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -40,6 +40,16 @@
 	return errors.Newf("more than %d interim responses", maxInterimResponses)
 }
 
+// BodyLength returns the content length of a response as Body takes it. Responses to HEAD and those with status 204 or 304
+// have no body, whatever their header says.
+func BodyLength(h *fasthttp.ResponseHeader, toHead bool) int {
+	switch status := h.StatusCode(); {
+	case toHead, status < fasthttp.StatusOK, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
+		return 0
+	}
+	return h.ContentLength()
+}
+
 // Body returns a reader of the body that follows a header, including its trailer. contentLength is that of fasthttp's
 // header. If the end is marked, the reader returns io.ErrUnexpectedEOF for a body that ends early.
 func Body(br *bufio.Reader, contentLength int) io.Reader {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// A response without a body must not make the client wait for one, whatever length its header names.
+func TestResponsesWithoutBody(t *testing.T) {
+	for text, want := range map[string]int{
+		"HTTP/1.1 204 No Content\r\n\r\n":                                 0,
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n":          0,
+		"HTTP/1.1 304 Not Modified\r\n\r\n":                               0,
+		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n":                    7,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":           -1,
+		"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\n": -2,
+	} {
+		var h fasthttp.ResponseHeader
+		require.NoError(t, http1.ReadResponseHeader(bufio.NewReader(strings.NewReader(text)), &h))
+		require.Equal(t, want, http1.BodyLength(&h, false), text)
+		require.Zero(t, http1.BodyLength(&h, true), text)
+	}
+}
+
 // An event of many short lines must not grow without limit.
 func TestEventSizeIsLimited(t *testing.T) {
 	for _, line := range []string{"data: a\n", ":\n", strings.Repeat("a", 5000)} {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -39,6 +39,8 @@
 	conn   *links.PooledConn
 	key    links.Key
 	header fasthttp.ResponseHeader
+	// toHead is true for a response to a HEAD request.
+	toHead bool
 	// closeConn is true if the connection must not be used again.
 	closeConn bool
 }
@@ -82,7 +84,7 @@
 
 // readBody reads a body of at most limit bytes, and returns the connection to the pool if the response is complete.
 func (c *Client) readBody(r *reply, limit int, memory *http1.MemoryLease) ([]byte, *core.Failure) {
-	body, err := http1.ReadBody(r.conn.Reader, r.header.ContentLength(), limit, memory)
+	body, err := http1.ReadBody(r.conn.Reader, http1.BodyLength(&r.header, r.toHead), limit, memory)
 	if err != nil {
 		_ = r.conn.Close()
 		return nil, transportFailure(err)
@@ -127,9 +129,7 @@
 	if f != nil {
 		return f
 	}
-	if req.Header.IsHead() {
-		r.header.SetContentLength(0)
-	}
+	r.toHead = req.Header.IsHead()
 	body, f := c.readBody(r, maxResponseBytes, memory)
 	if f != nil {
 		return f
