core/quota: one check that a request counts once

The deputy had written again the owner's check that a host's request is newer than its last. Change: requestLog.accept serves both; no behaviour changes. Result: tests of core/quota, core/replay and core/entry pass.

--- a/core/quota/deputy.go
+++ b/core/quota/deputy.go
@@ -20,7 +20,7 @@
 	policy       core.QuotaPolicy
 	config       *core.Config
 	buckets      map[core.AccountID]*fallbackBucket
-	lastRequests map[core.HostID]requestSeq
+	lastRequests requestLog
 	// liveEntryHosts is the number of entry hosts that are live, maxEntryHosts the largest number seen at once.
 	liveEntryHosts, maxEntryHosts int
 }
@@ -33,7 +33,7 @@
 
 func newDeputy(policy core.QuotaPolicy, config *core.Config) deputy {
 	return deputy{
-		policy: policy, config: config, buckets: map[core.AccountID]*fallbackBucket{}, lastRequests: map[core.HostID]requestSeq{},
+		policy: policy, config: config, buckets: map[core.AccountID]*fallbackBucket{}, lastRequests: requestLog{},
 	}
 }
 
@@ -54,10 +54,9 @@
 
 // handleRequest grants all of the required tokens of each item, or none.
 func (d *deputy) handleRequest(t *core.Turn, from core.HostID, m core.QuotaRequest) {
-	if last, ok := d.lastRequests[from]; ok && (m.Boot < last.boot || (m.Boot == last.boot && m.Seq <= last.seq)) {
+	if !d.lastRequests.accept(from, &m) {
 		return
 	}
-	d.lastRequests[from] = requestSeq{boot: m.Boot, seq: m.Seq}
 	g := core.QuotaGrant{Seq: m.Seq, Boot: m.Boot, Fallback: true}
 	for _, item := range m.Items {
 		granted := core.Tokens(0)
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -55,6 +55,18 @@
 	seq  uint64
 }
 
+// requestLog has the latest request that was accepted from each host.
+type requestLog map[core.HostID]requestSeq
+
+// accept records a request and reports true if it is newer than the latest one of the host, so that a request counts once.
+func (l requestLog) accept(from core.HostID, m *core.QuotaRequest) bool {
+	if last, ok := l[from]; ok && (m.Boot < last.boot || (m.Boot == last.boot && m.Seq <= last.seq)) {
+		return false
+	}
+	l[from] = requestSeq{boot: m.Boot, seq: m.Seq}
+	return true
+}
+
 // owner grants tokens from the buckets while this host is the leader.
 //
 // Counting spent tokens in the replicated log was rejected, because a commit per request costs more than routing the
@@ -71,7 +83,7 @@
 	gracePeriodEnd time.Time
 	config         *core.Config
 	buckets        map[core.AccountID]*bucket
-	lastRequests   map[core.HostID]requestSeq
+	lastRequests   requestLog
 	verifyQueue    core.VerifyQueue[pendingRequest]
 }
 
@@ -81,7 +93,7 @@
 	}
 	o.leading, o.epoch = e.Self, e.Epoch
 	o.buckets = map[core.AccountID]*bucket{}
-	o.lastRequests = map[core.HostID]requestSeq{}
+	o.lastRequests = requestLog{}
 	o.verifyQueue.Reset()
 	o.gracePeriodEnd = t.Now.Add(LeaseDuration)
 	if o.skipGracePeriod {
@@ -93,10 +105,9 @@
 	if !o.leading {
 		return
 	}
-	if last, ok := o.lastRequests[from]; ok && (m.Boot < last.boot || (m.Boot == last.boot && m.Seq <= last.seq)) {
+	if !o.lastRequests.accept(from, &m) {
 		return
 	}
-	o.lastRequests[from] = requestSeq{boot: m.Boot, seq: m.Seq}
 	o.verifyQueue.Add(t, pendingRequest{from: from, request: m})
 }
 
