core/replica: the leader logs how many replicas respond

For the report of a configuration that could not be read: the log showed a replica's own failure (diskFailed) and changes of the replica set, but not that the fleet had lost its reserve, which is what turns the next failure into the loss of the majority.

No decision changes. Tests of core/replica are green.

--- a/core/replica/append.go
+++ b/core/replica/append.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -79,9 +80,36 @@
 		c.becomeFollower(t, c.hardState.Epoch, "")
 		return
 	}
+	c.logResponsive(t, responsive)
 	c.repairReplicaSet(t)
 }
 
+// logResponsive logs how many voters and standbys respond whenever that changes, so that a reserve that has been lost shows
+// before the next failure.
+func (c *component) logResponsive(t *core.Turn, responsive func(core.Replica) bool) {
+	var r responsiveReplicas
+	set, _ := c.log.replicaSet()
+	for _, member := range set.Members {
+		switch {
+		case member.Voter && responsive(member):
+			r.votersUp++
+			r.voters++
+		case member.Voter:
+			r.voters++
+		case responsive(member):
+			r.standbysUp++
+		}
+	}
+	if r == c.responsive {
+		return
+	}
+	c.responsive = r
+	t.LogDecision(core.Decision{
+		Component: "replica", Choice: "responsive",
+		Reason: fmt.Sprintf("%d of %d voters and %d standbys respond", r.votersUp, r.voters, r.standbysUp), Target: string(c.self),
+	})
+}
+
 // broadcastHeartbeat starts a round of heartbeats. It resends entries that were not acknowledged within resendTimeout.
 func (c *component) broadcastHeartbeat(t *core.Turn) {
 	c.heartbeatRound++
--- a/core/replica/election.go
+++ b/core/replica/election.go
@@ -159,6 +159,7 @@
 func (c *component) clearLeaderState() {
 	c.peers = nil
 	c.verifications = nil
+	c.responsive = responsiveReplicas{}
 }
 
 func (c *component) becomeLeader(t *core.Turn) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -59,6 +59,13 @@
 	lastProgress time.Time
 }
 
+// responsiveReplicas counts the replicas and those of them that the leader has heard from recently.
+type responsiveReplicas struct {
+	votersUp   int
+	voters     int
+	standbysUp int
+}
+
 // deferredMessage is a message that must not be sent before the write with number seq is durable.
 type deferredMessage struct {
 	seq uint64
@@ -124,6 +131,8 @@
 	peers             map[core.HostID]*progress
 	members           []core.Member
 	bootstrapDisks    map[core.HostID]core.DiskID
+	// responsive is what the leader last logged.
+	responsive responsiveReplicas
 }
 
 // UnsafeOptions disables safety rules, so that tests can show that their checks detect a violation; production uses
@@ -381,4 +390,8 @@
 	set("commitIndex", int64(c.commitIndex))
 	set("logEntries", int64(len(c.log.entries)))
 	set("heldMessages", int64(len(c.deferred)))
+	if c.role == roleLeader {
+		set("votersResponsive", int64(c.responsive.votersUp))
+		set("voters", int64(c.responsive.voters))
+	}
 }
