core/replica, io/disk: a replica takes part again after a failed write

Cause: a write that fails once, as on a full disk, stopped the replica until its process was restarted, and the store rejected all later writes, although the disk had room again seconds later. Each full disk took one voter; standbys replaced the first two, and the next loss took the majority for good. Nothing showed it but one log line. The class of fault is a transient failure that is kept as a permanent state and uses up the redundancy without a sign.

Change: a stopped replica writes its whole log to new files every second and is a follower again once they are synced. The store accepts only such a complete write after a failure, so nothing depends on pages of the failed one. The files replace the old ones by rename, so a crash leaves either. Votes and entries that were not durable may be in them: responses that wait for a sync are dropped with the failure, so nobody was told of them.

TestCompleteWriteRecoversTheStore and the model test cover the files.

Ruled out as the same cause elsewhere: listeners (socket.Accept retries), the log writer (goes on after an error), connections between hosts (dialled again).

--- a/cmd/oleanderlever/main_test.go
+++ b/cmd/oleanderlever/main_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"oleanderlever/core"
 	"oleanderlever/io/caller"
@@ -230,6 +231,7 @@
 	t.Run("entryHostKilled", func(t *testing.T) { entryHostKilled(t, s) })
 	t.Run("leaderKilled", func(t *testing.T) { leaderKilled(t, s) })
 	t.Run("diskLost", func(t *testing.T) { diskLost(t, s) })
+	t.Run("diskFull", func(t *testing.T) { diskFull(t, s) })
 	t.Run("leaderPaused", func(t *testing.T) { leaderPaused(t, s) })
 	t.Run("drain", func(t *testing.T) { drain(t, s) })
 }
@@ -294,6 +296,27 @@
 	})
 }
 
+// The files of a replica can't grow for a while, as on a full disk. Later another replica is down, so a change needs the
+// first one.
+func diskFull(t *testing.T, s *system) {
+	leader, full := s.leader(s.hosts[0])
+	var other *host
+	for _, h := range s.hosts {
+		if h != leader && h != full {
+			other = h
+		}
+	}
+	pid := full.process.Process.Pid
+	var before unix.Rlimit
+	require.NoError(t, unix.Prlimit(pid, unix.RLIMIT_FSIZE, nil, &before))
+	require.NoError(t, unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Max: before.Max}, nil))
+	s.change(leader, &operator.Change{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: "while-full", MaxOutput: 8}}})
+	require.NoError(t, unix.Prlimit(pid, unix.RLIMIT_FSIZE, &before, nil))
+	s.kill(other)
+	s.change(leader, &operator.Change{Change: &operator.Change_PutModel{PutModel: &operator.Model{Id: "after-full", MaxOutput: 8}}})
+	s.start(other)
+}
+
 // The leader is paused by SIGSTOP while an API key is revoked. After it resumes, it must not accept the key.
 func leaderPaused(t *testing.T, s *system) {
 	leader, other := s.leader(s.hosts[0])
--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -54,6 +54,10 @@
 	clockRate  float64
 	// frozenUntil is when a frozen process continues.
 	frozenUntil time.Time
+	// DiskFull makes all writes fail.
+	DiskFull bool
+	// writeFailed is set by a failed write until a complete one succeeds.
+	writeFailed bool
 }
 
 // Run is a set of kernels that exchange messages in virtual time.
@@ -163,7 +167,7 @@
 	h.boot++
 	h.generation++
 	h.Up = true
-	h.unsynced = nil
+	h.unsynced, h.writeFailed = nil, false
 	h.nextTick, h.frozenUntil = time.Time{}, time.Time{}
 	env := core.Env{
 		Self: h.ID, Disk: h.Disk, DataCentre: core.DataCentre(fmt.Sprintf("dc-%d", r.index(h)%4+1)), Addr: hostAddr(r.index(h)),
@@ -356,6 +360,12 @@
 
 func (r *Run) sync(h *Host, p core.Persist) {
 	h.unsynced = slices.DeleteFunc(h.unsynced, func(q core.Persist) bool { return q.Seq == p.Seq })
+	if h.DiskFull || (h.writeFailed && !p.Complete) {
+		h.writeFailed = true
+		r.step(h, core.DiskFailed{Reason: "the disk is full"})
+		return
+	}
+	h.writeFailed = false
 	h.write(p)
 	r.step(h, core.Persisted{Seq: p.Seq})
 }
@@ -363,6 +373,9 @@
 // write applies a write to the contents of the data directory.
 func (h *Host) write(p core.Persist) {
 	h.Stored.Hard = p.Hard
+	if p.Complete {
+		h.Stored.Snapshot, h.Stored.Entries = nil, nil
+	}
 	if p.Snapshot != nil {
 		h.Stored.Snapshot = p.Snapshot
 		h.Stored.Entries = nil
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -133,6 +133,10 @@
 	bootstrapDisks    map[core.HostID]core.DiskID
 	// responsive is what the leader last logged.
 	responsive responsiveReplicas
+	// rewriteAt is when a replica whose disk has failed next tries to write its log again, zero while a try is running.
+	// rewriteSeq is the number of the last try, or zero.
+	rewriteAt  time.Time
+	rewriteSeq uint64
 }
 
 // UnsafeOptions disables safety rules, so that tests can show that their checks detect a violation; production uses
@@ -171,7 +175,7 @@
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Save: c.fillSnapshot, Gauges: c.gauges}
 }
 
-// rejectProposals handles the events of a host that has no data directory or whose disk has failed.
+// rejectProposals handles the events of a host that has no working data directory.
 func rejectProposals(t *core.Turn, ev core.Event) {
 	if e, ok := ev.(core.Propose); ok {
 		t.Post(core.ProposeFailed{Entry: e.Entry, Failure: core.Fail(core.KindNoLeader, "this host has no replicated log")})
@@ -180,7 +184,7 @@
 
 func (c *component) handle(t *core.Turn, ev core.Event) {
 	if c.role == roleStopped {
-		rejectProposals(t, ev)
+		c.handleStopped(t, ev)
 		return
 	}
 	switch e := ev.(type) {
@@ -241,14 +245,6 @@
 	}
 }
 
-// stop disables this replica: after a failed sync it must not acknowledge anything that it stores.
-func (c *component) stop(t *core.Turn, reason string) {
-	t.LogDecision(core.Decision{Component: "replica", Choice: "diskFailed", Reason: reason, Target: string(c.self)})
-	c.role = roleStopped
-	c.deferred = nil
-	c.setLeader(t, "")
-}
-
 func (c *component) tick(t *core.Turn) {
 	if c.role == roleLeader {
 		c.leaderTick(t)
@@ -272,7 +268,7 @@
 	case roleLeader:
 		return core.Earlier(c.heartbeatDeadline, c.checkDeadline)
 	case roleStopped:
-		return time.Time{}
+		return c.rewriteAt
 	}
 	return c.electionDeadline
 }
@@ -390,6 +386,11 @@
 	set("commitIndex", int64(c.commitIndex))
 	set("logEntries", int64(len(c.log.entries)))
 	set("heldMessages", int64(len(c.deferred)))
+	stopped := int64(0)
+	if c.role == roleStopped {
+		stopped = 1
+	}
+	set("stopped", stopped)
 	if c.role == roleLeader {
 		set("votersResponsive", int64(c.responsive.votersUp))
 		set("voters", int64(c.responsive.voters))
--- a/core/replicated.go
+++ b/core/replicated.go
@@ -104,12 +104,15 @@
 	Entries []Entry
 	// Snapshot replaces the stored snapshot and all entries up to its index.
 	Snapshot *Snapshot
+	// Complete means that Snapshot and Entries are the whole log and replace everything stored.
+	Complete bool
 }
 
 // Persisted is the event that everything up to a sequence number is durable.
 type Persisted struct{ Seq uint64 }
 
-// DiskFailed is the event that the data directory is no longer reliable; the replica stops voting and acknowledging.
+// DiskFailed is the event that a write failed, so that later writes may not be durable either. The replica neither votes
+// nor acknowledges until a complete Persist is durable; writes that are not complete are ignored until then.
 type DiskFailed struct{ Reason string }
 
 // Committed is the event that an entry is committed; every replica sees the same entries in the same order.
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -132,6 +132,39 @@
 	require.Error(t, s.Persist([]core.Persist{{Entries: entries(1, 1, 1)}}))
 }
 
+// A disk that was full has room again: the store must accept writes after a complete one, and restore what was written
+// since, with and without a snapshot and a restart.
+func TestCompleteWriteRecoversTheStore(t *testing.T) {
+	for _, snapshot := range []*core.Snapshot{nil, {Index: 2}} {
+		dir := t.TempDir()
+		s, _ := open(t, dir)
+		write(t, s, core.Persist{Hard: core.HardState{Epoch: 1}, Entries: entries(1, 3, 1)})
+		first := core.LogIndex(1)
+		if snapshot != nil {
+			first = snapshot.Index + 1
+			write(t, s, core.Persist{Hard: core.HardState{Epoch: 1}, Snapshot: snapshot, Entries: entries(first, 3, 1)})
+		}
+		realSync := s.Sync
+		s.Sync = func(*os.File) error { return errors.New("no space left") }
+		complete := core.Persist{Hard: core.HardState{Epoch: 2}, Snapshot: snapshot, Entries: entries(first, 4, 1), Complete: true}
+		require.Error(t, s.Persist([]core.Persist{{Hard: core.HardState{Epoch: 2}, Entries: entries(4, 4, 1)}}))
+		require.Error(t, s.Persist([]core.Persist{complete}), "the disk is still full")
+		s.Sync = realSync
+		require.Error(t, s.Persist([]core.Persist{{Hard: core.HardState{Epoch: 9}}}), "this write is not complete")
+		write(t, s, core.Persist{Hard: core.HardState{Epoch: 9}}, complete)
+		write(t, s, core.Persist{Hard: core.HardState{Epoch: 3}, Entries: entries(5, 5, 3)})
+		s.Close()
+		s, st := open(t, dir)
+		s.Close()
+		require.Equal(t, core.HardState{Epoch: 3}, st.Hard)
+		require.Len(t, st.Entries, int(6-first))
+		require.Equal(t, snapshot == nil, st.Snapshot == nil)
+		leftovers, err := filepath.Glob(filepath.Join(dir, "*.tmp"))
+		require.NoError(t, err)
+		require.Empty(t, leftovers)
+	}
+}
+
 func TestDirectoryIsLocked(t *testing.T) {
 	dir := t.TempDir()
 	s, _ := open(t, dir)
@@ -179,6 +212,18 @@
 				m.entries = append([]core.Entry(nil), m.entries[n:]...)
 				write(rt, s, core.Persist{Hard: m.hard, Snapshot: &core.Snapshot{Index: m.base}, Entries: m.entries})
 			},
+			"fail and write again": func(rt *rapid.T) {
+				realSync := s.Sync
+				s.Sync = func(*os.File) error { return errors.New("no space left") }
+				lost := entries(m.base+core.LogIndex(len(m.entries))+1, m.base+core.LogIndex(len(m.entries))+2, 9)
+				require.Error(rt, s.Persist([]core.Persist{{Hard: core.HardState{Epoch: 9}, Entries: lost}}))
+				s.Sync = realSync
+				var snapshot *core.Snapshot
+				if m.base > 0 {
+					snapshot = &core.Snapshot{Index: m.base}
+				}
+				write(rt, s, core.Persist{Hard: m.hard, Snapshot: snapshot, Entries: m.entries, Complete: true})
+			},
 			"restart": func(rt *rapid.T) {
 				s.Close()
 				var st core.StoredState
--- a/io/disk/peer.go
+++ b/io/disk/peer.go
@@ -77,7 +77,7 @@
 	<-w.done
 }
 
-// run writes all actions that were queued during the previous write as one batch. It ends after an error.
+// run writes all actions that were queued during the previous write as one batch.
 func (w *writer) run() {
 	defer close(w.done)
 	for range w.wake {
@@ -85,8 +85,8 @@
 		batch, closed := w.queue, w.closed
 		w.queue = nil
 		w.mu.Unlock()
-		if len(batch) > 0 && !w.write(batch) {
-			return
+		if len(batch) > 0 {
+			w.write(batch)
 		}
 		if closed {
 			return
@@ -94,11 +94,10 @@
 	}
 }
 
-func (w *writer) write(batch []core.Persist) bool {
+func (w *writer) write(batch []core.Persist) {
 	if err := w.store.Persist(batch); err != nil {
 		w.loop.Post(core.DiskFailed{Reason: err.Error()})
-		return false
+		return
 	}
 	w.loop.Post(core.Persisted{Seq: batch[len(batch)-1].Seq})
-	return true
 }
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -20,8 +20,8 @@
 //
 // Every file is synced before the store relies on it: a segment after each batch, a snapshot before its rename and the
 // directory after each rename. Files are not memory-mapped: an I/O error would be a signal instead of an error value,
-// and the platform has no shared memory. After a failed write or sync the store rejects all further writes, since the
-// failed pages may be lost although later syncs succeed.
+// and the platform has no shared memory. After a failed write or sync the failed pages may be lost although later syncs
+// succeed, so the store rejects all further writes until a complete one has replaced the files.
 type Store struct {
 	// Sync flushes a file to the disk; tests replace it to inject errors.
 	Sync func(f *os.File) error
@@ -100,7 +100,19 @@
 // its final name.
 func (s *Store) writeFile(name string, content []byte) error {
 	path := filepath.Join(s.dir, name)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err := s.writeTemp(path+tempSuffix, content); err != nil {
+		// What was written takes up space on a full disk.
+		_ = os.Remove(path + tempSuffix)
+		return err
+	}
+	if err := os.Rename(path+tempSuffix, path); err != nil {
+		return errors.Wrap(err, "rename file")
+	}
+	return s.syncDir()
+}
+
+func (s *Store) writeTemp(path string, content []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
@@ -108,13 +120,7 @@
 	if _, err := f.Write(content); err != nil {
 		return errors.Wrap(err, "write file")
 	}
-	if err := s.Sync(f); err != nil {
-		return errors.Wrap(err, "sync file")
-	}
-	if err := os.Rename(path+tempSuffix, path); err != nil {
-		return errors.Wrap(err, "rename file")
-	}
-	return s.syncDir()
+	return errors.Wrap(s.Sync(f), "sync file")
 }
 
 func (s *Store) syncDir() error {
@@ -209,16 +215,17 @@
 }
 
 // Persist writes and syncs a batch; the records between two snapshots share one sync. After an error all later calls
-// return that error.
+// return that error until one contains a complete write, which replaces the files.
 func (s *Store) Persist(batch []core.Persist) error {
 	if s.failed != nil {
-		return s.failed
-	}
-	if err := s.persist(batch); err != nil {
-		s.failed = err
-		return err
+		complete := slices.IndexFunc(batch, func(p core.Persist) bool { return p.Complete })
+		if complete < 0 {
+			return s.failed
+		}
+		batch = batch[complete:]
 	}
-	return nil
+	s.failed = s.persist(batch)
+	return s.failed
 }
 
 func (s *Store) persist(batch []core.Persist) error {
@@ -226,7 +233,7 @@
 	var err error
 	for i := range batch {
 		p := &batch[i]
-		if p.Snapshot != nil {
+		if p.Snapshot != nil || p.Complete {
 			// The snapshot and the entries in p, which are all entries after it, replace the buffered records.
 			buf = nil
 			if err := s.rotate(p); err != nil {
@@ -254,16 +261,14 @@
 	if err != nil {
 		return err
 	}
-	snapshot, err := appendRecord(nil, p.Snapshot)
-	if err != nil {
-		return err
+	old, next := s.baseIndex, uint64(0)
+	if p.Snapshot != nil {
+		next = uint64(p.Snapshot.Index)
 	}
-	old := s.baseIndex
-	next := uint64(p.Snapshot.Index)
 	if err := s.writeFile(fmt.Sprintf(segmentName, next), first); err != nil {
 		return err
 	}
-	if err := s.writeFile(fmt.Sprintf(snapshotName, next), snapshot); err != nil {
+	if err := s.writeSnapshot(p.Snapshot); err != nil {
 		return err
 	}
 	_ = s.segment.Close()
@@ -277,3 +282,15 @@
 	}
 	return nil
 }
+
+// writeSnapshot writes a snapshot, if there is one, under its index.
+func (s *Store) writeSnapshot(snapshot *core.Snapshot) error {
+	if snapshot == nil {
+		return nil
+	}
+	content, err := appendRecord(nil, snapshot)
+	if err != nil {
+		return err
+	}
+	return s.writeFile(fmt.Sprintf(snapshotName, uint64(snapshot.Index)), content)
+}
