core/gossip, core/dispatch: reports of failing upstreams end

Nearly all events were reports of one failing upstream, aged 999.999 ms.

Cause: a host that learned of a failure recorded it at its age, which does not grow on the way, forgot it at one second, and took a copy that arrived just then for new and told four others. The class of fault is a rumour whose identity is its age.

Change: a plug-in of its own spreads items. An item has the host that published it, its boot and a number. Hosts remember it for five minutes and pass it on once, if the component concerned says so; each copy has a limit of hops, which holds even where hosts have forgotten. Nothing is slowed down.

Codec number 42 is retired, 43 is new.

--- a/core/dispatch/demand_test.go
+++ b/core/dispatch/demand_test.go
@@ -11,6 +11,7 @@
 
 	"oleanderlever/core"
 	"oleanderlever/core/dispatch"
+	"oleanderlever/core/gossip"
 )
 
 // newConfiguredDriver returns a driver with a pool of engines with configured memory; the first of them are prefill
@@ -21,7 +22,7 @@
 		Self: "d", Rand: rand.New(rand.NewPCG(1, 1)), Limits: core.DefaultLimits(), Placement: core.PlacementMixed,
 		UpstreamHeartbeatTimeout: 5 * time.Second,
 	}
-	d.k = core.New(env, dispatch.Plugin())
+	d.k = core.New(env, gossip.Plugin(), dispatch.Plugin())
 	d.step(core.MembersChanged{Members: append([]core.Member{
 		{Host: "d", Boot: 1, State: core.MemberAlive, Entry: true},
 	}, hosts...)})
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -85,6 +85,8 @@
 		c.forward(t, e.Report.Pool, core.UpstreamUpdate{Report: &e.Report})
 	case core.CancelEnded:
 		c.handleCancelEnded(e)
+	case core.ObservationReceived:
+		c.observationReceived(t, e.Item)
 	case core.Tick:
 		c.tick(t)
 	case core.MessageReceived:
@@ -98,8 +100,6 @@
 		c.handleUpdate(t, m)
 	case core.UpstreamList:
 		c.handleUpstreamList(t, from, m)
-	case core.UpstreamSuspected:
-		c.handleSuspicion(t, m)
 	case core.PlacementRequest:
 		c.handleRequest(t, from, m)
 	case core.PlacementClaim:
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -24,6 +24,8 @@
 	grants         map[core.AttemptID]core.PlacementGrant
 	refusals       map[core.AttemptID]core.Failure
 	placementOrder []core.AccountID
+	// itemNumber is the number of the last gossip item that was delivered.
+	itemNumber uint64
 }
 
 func newDriver(hosts ...core.Member) *driver {
--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"oleanderlever/core"
@@ -23,8 +22,6 @@
 	repeatableAvoidance = 2 * time.Second
 	// maxAvoidedRatio is the part of a pool that is avoided at most: if more upstreams seem to fail, something else has.
 	maxAvoidedRatio = 0.5
-	// suspicionFanout is the number of hosts that a host tells of a failure that is new to it.
-	suspicionFanout = 4
 )
 
 // suspicion is what this host knows of the failures at one upstream.
@@ -65,8 +62,8 @@
 	return suspected
 }
 
-// reportFailure records a failure of this host's own call and tells other hosts. A host at which most upstreams of the
-// pool fail is probably itself the cause, so it tells nobody.
+// reportFailure records a failure of this host's own call and tells other hosts if it may change what they do. A host at
+// which most upstreams of the pool fail is probably itself the cause, so it tells nobody.
 func (c *component) reportFailure(t *core.Turn, pl *pool, u *upstream) {
 	failing := 1
 	for id, s := range pl.suspicions {
@@ -77,31 +74,37 @@
 	if failing > 1 && float64(failing) > maxAvoidedRatio*float64(len(pl.upstreams)) {
 		return
 	}
-	c.addWitnesses(t, pl, u, []core.Witness{{Host: c.self}})
+	if c.addWitness(t, pl, u, c.self, t.Now) {
+		t.Post(core.ShareObservation{Observation: core.Observation{UpstreamFailure: &core.UpstreamFailure{
+			Pool: pl.id, Upstream: u.ID, Incarnation: u.Incarnation,
+		}}})
+	}
 }
 
-// handleSuspicion records the failures that other hosts have seen.
-func (c *component) handleSuspicion(t *core.Turn, m core.UpstreamSuspected) {
-	if u := c.findUpstream(m.Pool, m.Upstream); u != nil && u.Incarnation == m.Incarnation {
-		c.addWitnesses(t, c.pools[m.Pool], u, m.Witnesses)
+// observationReceived records a failure that another host has seen, and has it passed on if it may change what others do.
+func (c *component) observationReceived(t *core.Turn, item core.GossipItem) {
+	f := item.Observation.UpstreamFailure
+	if f == nil {
+		return
+	}
+	u := c.findUpstream(f.Pool, f.Upstream)
+	if u != nil && u.Incarnation == f.Incarnation && c.addWitness(t, c.pools[f.Pool], u, item.ID.Host, t.Now.Add(-item.Age)) {
+		t.Post(core.PassOn{Item: item})
 	}
 }
 
-// addWitnesses adds failures at an upstream. If one of them is new to this host and may change what others do, it passes
-// them on.
-func (c *component) addWitnesses(t *core.Turn, pl *pool, u *upstream, witnesses []core.Witness) {
+// addWitness adds a host's failure at an upstream at the given time and reports whether it may change what other hosts do.
+func (c *component) addWitness(t *core.Turn, pl *pool, u *upstream, witness core.HostID, at time.Time) bool {
 	s := pl.suspicions[u.ID]
 	if s == nil || s.incarnation != u.Incarnation {
 		s = &suspicion{incarnation: u.Incarnation, witnesses: map[core.HostID]time.Time{}}
 		pl.suspicions[u.ID] = s
 	}
 	maps.DeleteFunc(s.witnesses, func(_ core.HostID, at time.Time) bool { return t.Now.Sub(at) >= witnessTTL })
-	added := false
-	for _, w := range witnesses {
-		if _, known := s.witnesses[w.Host]; !known && w.Age < witnessTTL && len(s.witnesses) < repeatableWitnesses {
-			s.witnesses[w.Host] = t.Now.Add(-w.Age)
-			added = true
-		}
+	_, known := s.witnesses[witness]
+	added := !known && t.Now.Sub(at) < witnessTTL && len(s.witnesses) < repeatableWitnesses
+	if added {
+		s.witnesses[witness] = at
 	}
 	began := s.avoid(t.Now)
 	if began {
@@ -110,9 +113,7 @@
 			Target: string(u.ID), Score: float64(len(s.witnesses)),
 		})
 	}
-	if added && (began || len(s.witnesses) < repeatableWitnesses) {
-		c.spreadSuspicion(t, pl, u, s)
-	}
+	return added && (began || len(s.witnesses) < repeatableWitnesses)
 }
 
 // avoid starts or extends the avoidance that the number of witnesses calls for, and reports whether it starts or is
@@ -133,24 +134,6 @@
 	return began
 }
 
-func (c *component) spreadSuspicion(t *core.Turn, pl *pool, u *upstream, s *suspicion) {
-	m := core.UpstreamSuspected{Pool: pl.id, Upstream: u.ID, Incarnation: u.Incarnation}
-	for _, h := range slices.Sorted(maps.Keys(s.witnesses)) {
-		m.Witnesses = append(m.Witnesses, core.Witness{Host: h, Age: t.Now.Sub(s.witnesses[h])})
-	}
-	var others []core.HostID
-	for i := range c.members {
-		if c.members[i].Entry && c.members[i].Host != c.self {
-			others = append(others, c.members[i].Host)
-		}
-	}
-	for range min(suspicionFanout, len(others)) {
-		i := c.rand.IntN(len(others))
-		t.Send(others[i], m)
-		others = slices.Delete(others, i, i+1)
-	}
-}
-
 // forgetSuspicions removes what has expired.
 func (p *pool) forgetSuspicions(now time.Time) {
 	maps.DeleteFunc(p.suspicions, func(id core.UpstreamID, s *suspicion) bool {
--- a/core/dispatch/suspicion_test.go
+++ b/core/dispatch/suspicion_test.go
@@ -23,19 +23,37 @@
 	return d
 }
 
-// suspect delivers the failures that other hosts have seen, and returns the messages that pass them on.
-func (d *driver) suspect(id core.UpstreamID, witnesses ...core.Witness) []core.UpstreamSuspected {
-	return suspicions(d.step(core.MessageReceived{From: "f1", Message: core.UpstreamSuspected{
-		Pool: "desk", Upstream: id, Incarnation: 1, Witnesses: witnesses,
-	}}))
+// witness is a host whose call failed, with the time since then.
+type witness struct {
+	host core.HostID
+	age  time.Duration
 }
 
-func suspicions(actions []core.Action) []core.UpstreamSuspected {
-	var out []core.UpstreamSuspected
+// suspect delivers the failures that other hosts have seen, and returns the messages that pass them on. Each call delivers
+// other items, as after further failures.
+func (d *driver) suspect(id core.UpstreamID, witnesses ...witness) []core.GossipItem {
+	var passedOn []core.GossipItem
+	for _, w := range witnesses {
+		d.itemNumber++
+		passedOn = append(passedOn, d.receive(core.GossipItem{
+			ID: core.GossipID{Host: w.host, Boot: 1, Number: d.itemNumber}, Hops: 3, Age: w.age,
+			Observation: core.Observation{UpstreamFailure: &core.UpstreamFailure{Pool: "desk", Upstream: id, Incarnation: 1}},
+		})...)
+	}
+	return passedOn
+}
+
+// receive delivers an item and returns the messages that pass it on.
+func (d *driver) receive(item core.GossipItem) []core.GossipItem {
+	return gossipItems(d.step(core.MessageReceived{From: "f1", Message: core.Gossip{Item: item}}))
+}
+
+func gossipItems(actions []core.Action) []core.GossipItem {
+	var out []core.GossipItem
 	for _, a := range actions {
 		if s, ok := a.(core.SendMessage); ok {
-			if m, ok := s.Message.(core.UpstreamSuspected); ok {
-				out = append(out, m)
+			if m, ok := s.Message.(core.Gossip); ok {
+				out = append(out, m.Item)
 			}
 		}
 	}
@@ -43,7 +61,7 @@
 }
 
 // fail lets a call at an upstream fail and returns the messages that report it.
-func (d *driver) fail(number int, id core.UpstreamID) []core.UpstreamSuspected {
+func (d *driver) fail(number int, id core.UpstreamID) []core.GossipItem {
 	for n := 0; ; n++ {
 		r := core.PlacementRequest{
 			Attempt: attempt(1000*number + n), Boot: 1, Account: "a", Pool: "desk", Weight: 1, PlainService: true,
@@ -53,7 +71,7 @@
 		release := core.PlacementRelease{Attempt: r.Attempt, Pool: "desk"}
 		if d.grants[r.Attempt].Decode == id {
 			release.FailedUpstream = id
-			return suspicions(d.step(core.MessageReceived{From: "e", Message: release}))
+			return gossipItems(d.step(core.MessageReceived{From: "e", Message: release}))
 		}
 		d.step(core.MessageReceived{From: "e", Message: release})
 	}
@@ -68,13 +86,13 @@
 // upstream, with three all calls do; the calls that can be repeated try it again first.
 func TestCallsAvoidAnUpstreamThatFailsSeveralHosts(t *testing.T) {
 	d := newServiceDriver(6)
-	d.suspect("s1", core.Witness{Host: "f1"})
-	d.suspect("s1", core.Witness{Host: "f1"}, core.Witness{Host: "f9", Age: 2 * time.Second})
+	d.suspect("s1", witness{host: "f1"})
+	d.suspect("s1", witness{host: "f1"}, witness{host: "f9", age: 2 * time.Second})
 	require.Equal(t, allServices, d.called(1, false))
-	d.suspect("s1", core.Witness{Host: "f2"})
+	d.suspect("s1", witness{host: "f2"})
 	require.Equal(t, withoutS1, d.called(2, false))
 	require.Equal(t, allServices, d.called(3, true))
-	d.suspect("s1", core.Witness{Host: "f3"})
+	d.suspect("s1", witness{host: "f3"})
 	require.Equal(t, withoutS1, d.called(4, true))
 	d.run(2, 3)
 	require.Equal(t, allServices, d.called(5, true))
@@ -87,10 +105,10 @@
 func TestMostOfAPoolIsNeverAvoided(t *testing.T) {
 	d := newServiceDriver(6)
 	for _, id := range []core.UpstreamID{"s1", "s2"} {
-		d.suspect(id, core.Witness{Host: "f1"}, core.Witness{Host: "f2"}, core.Witness{Host: "f3"})
+		d.suspect(id, witness{host: "f1"}, witness{host: "f2"}, witness{host: "f3"})
 	}
 	require.Equal(t, map[core.UpstreamID]bool{"s3": true, "s4": true}, d.called(1, true))
-	d.suspect("s3", core.Witness{Host: "f1"}, core.Witness{Host: "f2"}, core.Witness{Host: "f3"})
+	d.suspect("s3", witness{host: "f1"}, witness{host: "f2"}, witness{host: "f3"})
 	require.Equal(t, allServices, d.called(2, true))
 }
 
@@ -100,12 +118,13 @@
 	d := newServiceDriver(20)
 	reports := d.fail(1, "s1")
 	require.Len(t, reports, 4)
-	require.Equal(t, []core.Witness{{Host: "d"}}, reports[0].Witnesses)
+	require.Equal(t, core.HostID("d"), reports[0].ID.Host)
+	require.Equal(t, core.UpstreamID("s1"), reports[0].Observation.UpstreamFailure.Upstream)
 	require.Empty(t, d.fail(2, "s1"), "repeated")
-	require.Len(t, d.suspect("s1", core.Witness{Host: "f1"}), 4)
-	require.Empty(t, d.suspect("s1", core.Witness{Host: "f1"}), "repeated")
-	require.Len(t, d.suspect("s1", core.Witness{Host: "f2"}), 4)
-	require.Empty(t, d.suspect("s1", core.Witness{Host: "f3"}), "enough hosts know of enough failures")
+	require.Len(t, d.suspect("s1", witness{host: "f1"}), 4)
+	require.Empty(t, d.suspect("s1", witness{host: "f1"}), "repeated")
+	require.Len(t, d.suspect("s1", witness{host: "f2"}), 4)
+	require.Empty(t, d.suspect("s1", witness{host: "f3"}), "enough hosts know of enough failures")
 	require.Len(t, d.fail(3, "s2"), 4)
 	require.Empty(t, d.fail(4, "s3"))
 }
--- a/core/events.go
+++ b/core/events.go
@@ -66,3 +66,12 @@
 
 // RecordOutcomeEnded is the event that the wait for a durable outcome is over.
 type RecordOutcomeEnded struct{ Request RequestID }
+
+// ShareObservation is the event that a component wants to tell the other entry hosts what this host has observed.
+type ShareObservation struct{ Observation Observation }
+
+// ObservationReceived is the event that an observation of another host has arrived for the first time.
+type ObservationReceived struct{ Item GossipItem }
+
+// PassOn is the event that a component finds an observation of another host worth telling others.
+type PassOn struct{ Item GossipItem }
--- /dev/null
+++ b/core/gossip/doc.go
@@ -0,0 +1,2 @@
+// Package gossip is the plug-in that spreads observations among the entry hosts.
+package gossip
--- a/core/message.go
+++ b/core/message.go
@@ -422,18 +422,41 @@
 	Age time.Duration `cbor:"age"`
 }
 
-// UpstreamSuspected tells an entry host whose calls an upstream has failed; each host passes on what is new to it.
-type UpstreamSuspected struct {
+// MaxGossipHops is how often a copy of an item may be passed on.
+const MaxGossipHops = 12
+
+// Gossip carries an item to a random entry host.
+type Gossip struct {
+	Item GossipItem `cbor:"item"`
+}
+
+// GossipID identifies an item: the host that published it, that host's boot number, and the item's number in that boot.
+type GossipID struct {
+	Host   HostID `cbor:"host"`
+	Boot   uint64 `cbor:"boot"`
+	Number uint64 `cbor:"number"`
+}
+
+// GossipItem is an observation of one host that others may pass on.
+type GossipItem struct {
+	ID GossipID `cbor:"id"`
+	// Hops is how often this copy may still be passed on.
+	Hops int `cbor:"hops"`
+	// Age is how long hosts have held the item since the observation; the time on the way is not included.
+	Age         time.Duration `cbor:"age,omitempty"`
+	Observation Observation   `cbor:"observation"`
+}
+
+// Observation is what a host shares with the other entry hosts; exactly one field is set.
+type Observation struct {
+	UpstreamFailure *UpstreamFailure `cbor:"upstreamFailure,omitempty"`
+}
+
+// UpstreamFailure is the failure of a host's call at a plain service.
+type UpstreamFailure struct {
 	Pool        PoolID     `cbor:"pool"`
 	Upstream    UpstreamID `cbor:"upstream"`
 	Incarnation uint64     `cbor:"incarnation"`
-	Witnesses   []Witness  `cbor:"witnesses"`
-}
-
-// Witness is a host whose call failed, with the time since then.
-type Witness struct {
-	Host HostID        `cbor:"host"`
-	Age  time.Duration `cbor:"age"`
 }
 
 // UpstreamListRequest asks for the complete list, because a change of it was lost.
--- a/core/validate.go
+++ b/core/validate.go
@@ -48,7 +48,7 @@
 		return m.validate()
 	case AssignmentMismatch:
 		return m.Announcement.Validate()
-	case UpstreamSuspected:
+	case Gossip:
 		return m.validate()
 	}
 	return nil
@@ -144,15 +144,21 @@
 	return Fail(KindBadRequest, "upstream update: has neither an announcement nor a report")
 }
 
-func (m *UpstreamSuspected) validate() error {
-	if len(m.Witnesses) > maxListLength {
-		return Fail(KindBadRequest, "suspected upstream: too many witnesses")
+func (m *Gossip) validate() error {
+	if m.Item.Hops < 0 || m.Item.Hops >= MaxGossipHops || m.Item.ID.Number == 0 {
+		return Fail(KindBadRequest, "gossip: hops or number is out of range")
 	}
-	for _, w := range m.Witnesses {
-		if w.Age < 0 || w.Age > maxDuration {
-			return Fail(KindBadRequest, "suspected upstream: age is out of range")
-		}
-		if err := ValidateName("suspected.witness", string(w.Host)); err != nil {
+	if m.Item.Age < 0 || m.Item.Age > maxDuration {
+		return Fail(KindBadRequest, "gossip: age is out of range")
+	}
+	f := m.Item.Observation.UpstreamFailure
+	if f == nil {
+		return Fail(KindBadRequest, "gossip: no known observation")
+	}
+	for name, value := range map[string]string{
+		"gossip.host": string(m.Item.ID.Host), "gossip.pool": string(f.Pool), "gossip.upstream": string(f.Upstream),
+	} {
+		if err := ValidateName(name, value); err != nil {
 			return err
 		}
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -23,6 +23,7 @@
 	_ "oleanderlever/core/config"
 	_ "oleanderlever/core/dispatch"
 	_ "oleanderlever/core/entry"
+	_ "oleanderlever/core/gossip"
 	_ "oleanderlever/core/lease"
 	_ "oleanderlever/core/member"
 	_ "oleanderlever/core/once"
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -63,7 +63,7 @@
 	newWireType[core.ConfigRequest](39),
 	newWireType[core.ConfigUpdate](40),
 	newWireType[core.UpstreamListRequest](41),
-	newWireType[core.UpstreamSuspected](42),
+	newWireType[core.Gossip](43),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -64,7 +64,9 @@
 	core.UpstreamList{Seen: []core.SeenUpstream{{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleService, Addr: addr, Slots: 1}, Age: time.Second}}, Deregistered: []core.UpstreamDeregistered{{ID: "u", Incarnation: 2}}},
 	core.PlacementQueued{Attempt: placementRequest.Attempt},
 	core.UpstreamListRequest{},
-	core.UpstreamSuspected{Pool: "p", Upstream: "u", Incarnation: 2, Witnesses: []core.Witness{{Host: "h", Age: time.Second}}},
+	core.Gossip{Item: core.GossipItem{ID: core.GossipID{Host: "h", Boot: 3, Number: 4}, Hops: 5, Observation: core.Observation{
+		UpstreamFailure: &core.UpstreamFailure{Pool: "p", Upstream: "u", Incarnation: 2},
+	}}},
 }
 
 func TestMessagesRoundTrip(t *testing.T) {
