core/quarantine: prompts that crash engines are stopped on all hosts

What callers saw: one part of a prompt crashes each engine that begins a response to it. Requests with it crashed engine after engine, each crash ending the sound streams of its engine with 502 or in the middle.

Cause: nothing connected a request with the crash of its engine. A breaker keeps work from the engine that is down; the next request with the part goes to the next one. The class of fault is a request that moves on after it has destroyed what ran it.

Change: entry hosts report the prompt parts of streams whose engine closed the connection at their start, and the hosts quarantine the part that the crashes have in common after three of them. Complete responses clear parts. Requests in quarantine are refused at once with 503 and 'not run'; one that crashed two engines is not sent to a third.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -51,6 +51,8 @@
 	// emptyLists counts, for each pool whose dispatcher is sent active attempts, the consecutive empty lists.
 	emptyLists    map[core.PoolID]int
 	unsafeRetries bool
+	// quarantined are sets of prompt parts; a request with all parts of a set must not reach an engine.
+	quarantined [][]uint64
 }
 
 func init() { core.Register(Plugin(false)) }
@@ -118,6 +120,8 @@
 	case core.UpstreamsAvailable:
 		c.hasUpstreams = e.Count > 0
 		c.publishState(t)
+	case core.QuarantineChanged:
+		c.quarantineChanged(t, e.PromptParts)
 	case core.LameDuck:
 		c.lameDuck, c.streamsUntil = true, e.StreamsUntil
 		c.publishState(t)
@@ -175,6 +179,9 @@
 	if f == nil && c.lameDuck && a.route.Streaming && !t.Now.Before(c.streamsUntil) {
 		f = core.Fail(core.KindNotReady, "the host is shutting down")
 	}
+	if f == nil {
+		f = c.quarantineFailure(&r)
+	}
 	if f == nil && c.requests[r.ID] != nil {
 		f = core.Fail(core.KindBadRequest, "a request with this ID is in progress")
 	}
@@ -328,6 +335,10 @@
 
 // startDecode starts the stream from a prefill's KV cache, or from the prompt if kv is empty.
 func (c *component) startDecode(t *core.Turn, r *request, kv core.KVRef) {
+	if f := c.quarantineFailure(&r.Request); f != nil {
+		c.refuseQuarantined(t, r, f)
+		return
+	}
 	r.stage = stageDecode
 	r.decodeStartedAt = t.Now
 	c.schedule(r)
@@ -352,7 +363,9 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stageDecode {
 		return
 	}
+	tokensBefore := r.relayedTokens
 	r.relayedTokens = e.RelayedTokens
+	c.reportStream(t, r, &e, tokensBefore)
 	if e.Failure == nil {
 		r.mayHaveRun = true
 		c.sendRelease(t, r, core.PlacementRelease{FirstTokenLatency: r.firstTokenLatency})
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -51,6 +51,9 @@
 // retry starts another attempt after a failed one and reports whether it did: the request must permit it and the retry
 // budget must not be exhausted.
 func (c *component) retry(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) bool {
+	if r.crashesAtStart >= maxCrashesAtStart || c.quarantineFailure(&r.Request) != nil {
+		return false
+	}
 	allowed := r.mayRetry(f) || (c.unsafeRetries && r.placement.Attempt.Number < defaultMaxAttempts)
 	if !allowed || !c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		return false
--- /dev/null
+++ b/core/entry/quarantine.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"oleanderlever/core"
+)
+
+// maxTokensAtStart is the number of relayed tokens or events up to which a response counts as just begun.
+const maxTokensAtStart = 1
+
+// maxCrashesAtStart is the number of engines that may crash at the start of a request's response before it is not sent to
+// another one.
+const maxCrashesAtStart = 2
+
+// reportStream posts whether a stream was complete, or whether its engine crashed when the response began.
+func (c *component) reportStream(t *core.Turn, r *request, e *core.DecodeEnded, tokensBefore core.Tokens) {
+	switch {
+	case len(r.PromptParts) == 0:
+	case e.Failure == nil:
+		t.Post(core.StreamCompleted{PromptParts: r.PromptParts})
+	case e.RemoteClosed && e.RelayedTokens-tokensBefore <= maxTokensAtStart:
+		r.crashesAtStart++
+		t.Post(core.StreamCrashed{Upstream: r.grant.Decode, PromptParts: r.PromptParts})
+	}
+}
+
+// quarantineFailure returns the failure of a request whose prompt is in quarantine, otherwise nil.
+func (c *component) quarantineFailure(r *core.Request) *core.Failure {
+	for _, set := range c.quarantined {
+		if !slices.ContainsFunc(set, func(p uint64) bool { return !slices.Contains(r.PromptParts, p) }) {
+			return core.Fail(core.KindQuarantined, "parts %x of the prompt have crashed engines", set)
+		}
+	}
+	return nil
+}
+
+// quarantineChanged replaces the quarantines and refuses the requests that are in one and wait for quota or placement.
+func (c *component) quarantineChanged(t *core.Turn, sets [][]uint64) {
+	c.quarantined = sets
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		r := c.requests[id]
+		if r.stage != stageQuota && r.stage != stagePlacement {
+			continue
+		}
+		if f := c.quarantineFailure(&r.Request); f != nil {
+			f.NotExecuted = !r.mayHaveRun
+			c.cancelWaiting(t, r, f)
+		}
+	}
+}
+
+// refuseQuarantined refuses a request whose prefill is complete, and releases its placement.
+func (c *component) refuseQuarantined(t *core.Turn, r *request, f *core.Failure) {
+	f.NotExecuted = !r.mayHaveRun
+	c.sendRelease(t, r, core.PlacementRelease{})
+	c.refuse(t, r, f)
+}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -79,7 +79,9 @@
 	relayedTokens      core.Tokens
 	enginePromptTokens core.Tokens
 	reconnectCount     int
-	arrivedAt          time.Time
+	// crashesAtStart counts the attempts whose engine crashed when the response began.
+	crashesAtStart int
+	arrivedAt      time.Time
 	// decodeStartedAt is when the attempt's decode started; firstTokenLatency is the time from then to its first token.
 	decodeStartedAt   time.Time
 	firstTokenLatency time.Duration
--- a/core/events.go
+++ b/core/events.go
@@ -75,3 +75,16 @@
 
 // PassOn is the event that a component finds an observation of another host worth telling others.
 type PassOn struct{ Item GossipItem }
+
+// StreamCompleted is the event that a response to a prompt with these parts was complete.
+type StreamCompleted struct{ PromptParts []uint64 }
+
+// StreamCrashed is the event that an engine closed the connection of a response at its start.
+type StreamCrashed struct {
+	Upstream    UpstreamID
+	PromptParts []uint64
+}
+
+// QuarantineChanged is the event that other quarantines than before are in force: a request whose prompt has all parts of one
+// set is not sent to engines.
+type QuarantineChanged struct{ PromptParts [][]uint64 }
--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -343,10 +343,25 @@
 	from.freeKV(a.KV.Handle, k)
 	e.streams[a.Attempt] = s
 	e.usedPages += s.pages
-	f.run.After(e.TokenInterval, func() { e.firstToken(s, a.Attempt) })
+	f.run.After(e.TokenInterval, func() { e.beginResponse(s, a.Attempt) })
 	f.run.After(e.TokenInterval*time.Duration(max(1, s.outputTokens)), func() { e.completeStream(s, a.Attempt) })
 }
 
+// crashTime is how long an engine is down after a prompt has crashed it.
+const crashTime = 3 * time.Second
+
+// beginResponse generates the first token of a stream, or crashes the engine if the prompt has a deadly part.
+func (e *Engine) beginResponse(s *stream, a core.AttemptID) {
+	deadly := slices.ContainsFunc(s.exchange.PromptParts, func(p uint64) bool { return e.upstreams.DeadlyParts[p] })
+	if s.ended || !e.Up || !deadly {
+		e.firstToken(s, a)
+		return
+	}
+	e.upstreams.Crashes++
+	e.Kill()
+	e.upstreams.run.After(crashTime, e.Restart)
+}
+
 // firstToken reports the first token of a stream.
 func (e *Engine) firstToken(s *stream, a core.AttemptID) {
 	if s.ended || s.outputTokens == 0 {
@@ -396,7 +411,12 @@
 		s.exchange.RelayedTokens = n
 		s.exchange.lastTokenAt = e.upstreams.run.Now
 	}
-	e.upstreams.decodeEnded(s.exchange, a, connectionBroken(), true)
+	f := e.upstreams
+	f.after(s.exchange, f.NetworkDelay, func() {
+		f.post(s.exchange, core.DecodeEnded{
+			Attempt: a, RelayedTokens: s.exchange.RelayedTokens, Failure: connectionBroken(), ConnectionLost: true, RemoteClosed: true,
+		})
+	})
 }
 
 // BreakConnections breaks the connections of all streams; the streams continue on the engine and can be resumed.
--- a/core/harness/fakes.go
+++ b/core/harness/fakes.go
@@ -59,6 +59,9 @@
 	NetworkDelay time.Duration
 	// AssignTime is how long an engine takes to carry out an assign request.
 	AssignTime time.Duration
+	// DeadlyParts are the prompt parts that crash an engine when it begins a response; Crashes counts these crashes.
+	DeadlyParts map[uint64]bool
+	Crashes     int
 	// CallCounts counts the calls that plain services ran, by content.
 	CallCounts map[string]int
 	// OnDecision, if set, is called for each logged decision.
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -37,6 +37,8 @@
 	KindInternal
 	// KindMisdirected means that an upstream has a different identity or role than announced.
 	KindMisdirected
+	// KindQuarantined means that a part of the prompt has crashed engines.
+	KindQuarantined
 	kindCount
 )
 
@@ -53,6 +55,8 @@
 const (
 	shortRetryAfter = time.Second
 	longRetryAfter  = 5 * time.Second
+	// quarantineRetryAfter is about as long as a quarantine.
+	quarantineRetryAfter = 4 * time.Minute
 )
 
 // kindInfos is indexed by kind. Front ends map kinds to their own status codes.
@@ -81,6 +85,7 @@
 	KindCancelled:             {Name: "cancelled"},
 	KindInternal:              {Name: "internal"},
 	KindMisdirected:           {Name: "misdirected"},
+	KindQuarantined:           {Name: "quarantined", NotExecuted: true, RetryAfter: quarantineRetryAfter},
 }
 
 // Kinds returns all kinds except KindNone.
--- a/core/message.go
+++ b/core/message.go
@@ -449,7 +449,10 @@
 
 // Observation is what a host shares with the other entry hosts; exactly one field is set.
 type Observation struct {
-	UpstreamFailure *UpstreamFailure `cbor:"upstreamFailure,omitempty"`
+	UpstreamFailure  *UpstreamFailure  `cbor:"upstreamFailure,omitempty"`
+	PromptCrash      *PromptCrash      `cbor:"promptCrash,omitempty"`
+	PromptSound      *PromptSound      `cbor:"promptSound,omitempty"`
+	PromptQuarantine *PromptQuarantine `cbor:"promptQuarantine,omitempty"`
 }
 
 // UpstreamFailure is the failure of a host's call at a plain service.
@@ -459,6 +462,33 @@
 	Incarnation uint64     `cbor:"incarnation"`
 }
 
+// PromptCrash is the crash of an engine at the start of a response to a prompt with these parts.
+type PromptCrash struct {
+	Upstream UpstreamID `cbor:"upstream"`
+	Parts    []uint64   `cbor:"parts"`
+}
+
+// PromptSound is a prompt part that was in a complete response and that crashes had made suspect.
+type PromptSound struct {
+	Part uint64 `cbor:"part"`
+}
+
+// PromptQuarantine keeps requests away whose prompt has all of these parts, for the time that remains.
+type PromptQuarantine struct {
+	Parts     []uint64      `cbor:"parts"`
+	Remaining time.Duration `cbor:"remaining"`
+}
+
+// QuarantineList tells another host which quarantines are in force.
+type QuarantineList struct {
+	Quarantines []PromptQuarantine `cbor:"quarantines"`
+}
+
+// SoundParts is the response to a QuarantineList: the parts in it that have been in complete responses.
+type SoundParts struct {
+	Parts []uint64 `cbor:"parts"`
+}
+
 // UpstreamListRequest asks for the complete list, because a change of it was lost.
 type UpstreamListRequest struct{}
 
--- a/core/request.go
+++ b/core/request.go
@@ -24,6 +24,8 @@
 	ExpectedTokens Tokens
 	// PrefixHashes are the chained hashes of the prompt's leading blocks of PrefixBlockTokens each.
 	PrefixHashes []uint64
+	// PromptParts identify the parts of the prompt that other requests may have too, at most MaxPromptParts.
+	PromptParts []uint64
 	// IdempotencyKey is the value of the Idempotency-Key header, or empty.
 	IdempotencyKey string
 	// ContentHash is a hash of method, path and body; it distinguishes a resent request from another one with the same
@@ -40,6 +42,8 @@
 	PageTokens Tokens = 4096
 	// PrefixBlockTokens is the block size of prefix-cache hints.
 	PrefixBlockTokens Tokens = 256
+	// MaxPromptParts limits the parts of a prompt that are tracked.
+	MaxPromptParts = 32
 )
 
 // Pages returns the number of memory pages that n tokens take.
@@ -76,6 +80,8 @@
 	Failure       *Failure
 	// ConnectionLost is true if the connection was lost and the engine may still hold the stream.
 	ConnectionLost bool
+	// RemoteClosed is true if the connection was lost because the engine closed or reset it.
+	RemoteClosed bool
 }
 
 // CallEnded is the event that a RunCall ended.
--- a/core/validate.go
+++ b/core/validate.go
@@ -50,6 +50,8 @@
 		return m.Announcement.Validate()
 	case Gossip:
 		return m.validate()
+	case QuarantineList:
+		return m.validate()
 	}
 	return nil
 }
@@ -151,14 +153,59 @@
 	if m.Item.Age < 0 || m.Item.Age > maxDuration {
 		return Fail(KindBadRequest, "gossip: age is out of range")
 	}
-	f := m.Item.Observation.UpstreamFailure
-	if f == nil {
-		return Fail(KindBadRequest, "gossip: no known observation")
+	if err := ValidateName("gossip.host", string(m.Item.ID.Host)); err != nil {
+		return err
+	}
+	return m.Item.Observation.validate()
+}
+
+func (o *Observation) validate() error {
+	set := 0
+	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil} {
+		if isSet {
+			set++
+		}
+	}
+	switch {
+	case set != 1:
+		return Fail(KindBadRequest, "gossip: has %d known observations", set)
+	case o.UpstreamFailure != nil:
+		return o.UpstreamFailure.validate()
+	case o.PromptCrash != nil:
+		return o.PromptCrash.validate()
+	case o.PromptQuarantine != nil:
+		return o.PromptQuarantine.validate()
+	}
+	return nil
+}
+
+func (f *UpstreamFailure) validate() error {
+	if err := ValidateName("gossip.pool", string(f.Pool)); err != nil {
+		return err
+	}
+	return ValidateName("gossip.upstream", string(f.Upstream))
+}
+
+func (c *PromptCrash) validate() error {
+	if len(c.Parts) == 0 || len(c.Parts) > MaxPromptParts {
+		return Fail(KindBadRequest, "gossip: a crash has %d prompt parts", len(c.Parts))
+	}
+	return ValidateName("gossip.upstream", string(c.Upstream))
+}
+
+func (q *PromptQuarantine) validate() error {
+	if len(q.Parts) == 0 || len(q.Parts) > MaxPromptParts {
+		return Fail(KindBadRequest, "quarantine: has %d prompt parts", len(q.Parts))
+	}
+	if q.Remaining <= 0 || q.Remaining > maxDuration {
+		return Fail(KindBadRequest, "quarantine: the remaining time is out of range")
 	}
-	for name, value := range map[string]string{
-		"gossip.host": string(m.Item.ID.Host), "gossip.pool": string(f.Pool), "gossip.upstream": string(f.Upstream),
-	} {
-		if err := ValidateName(name, value); err != nil {
+	return nil
+}
+
+func (m *QuarantineList) validate() error {
+	for i := range m.Quarantines {
+		if err := m.Quarantines[i].validate(); err != nil {
 			return err
 		}
 	}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -101,7 +101,10 @@
 	if x.promptTokens == 0 {
 		x.promptTokens = result.PromptTokens
 	}
-	x.loop.Post(core.DecodeEnded{Attempt: a.Attempt, RelayedTokens: x.outputTokens, Failure: result.Failure, ConnectionLost: result.ConnectionLost})
+	x.loop.Post(core.DecodeEnded{
+		Attempt: a.Attempt, RelayedTokens: x.outputTokens, Failure: result.Failure, ConnectionLost: result.ConnectionLost,
+		RemoteClosed: result.RemoteClosed,
+	})
 }
 
 // relayToken sends a token to the caller if the response is streamed. It always keeps the text, for a response that is
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -64,6 +64,7 @@
 	r.Model = core.PoolID(m.Model)
 	r.PromptTokens = core.Tokens(len(text)/dispatch.BytesPerToken + tokensPerMessage*len(m.Messages) + 1)
 	r.PrefixHashes = dispatch.PrefixHashes(text)
+	r.PromptParts = r.PrefixHashes[:min(core.MaxPromptParts, len(r.PrefixHashes))]
 	for _, n := range []*int64{m.MaxCompletionTokens, m.MaxTokens} {
 		if n == nil {
 			continue
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -31,6 +31,7 @@
 	core.KindRateLimited:           fasthttp.StatusTooManyRequests,
 	core.KindOverloaded:            fasthttp.StatusServiceUnavailable,
 	core.KindNoUpstream:            fasthttp.StatusServiceUnavailable,
+	core.KindQuarantined:           fasthttp.StatusServiceUnavailable,
 	core.KindNotReady:              fasthttp.StatusServiceUnavailable,
 	core.KindDeadlineExceeded:      fasthttp.StatusGatewayTimeout,
 	core.KindUpstreamRefused:       fasthttp.StatusServiceUnavailable,
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -64,6 +64,8 @@
 	newWireType[core.ConfigUpdate](40),
 	newWireType[core.UpstreamListRequest](41),
 	newWireType[core.Gossip](43),
+	newWireType[core.QuarantineList](44),
+	newWireType[core.SoundParts](45),
 }
 
 var (
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -13,6 +13,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
 	"oleanderlever/io/http1"
+	"oleanderlever/io/socket"
 )
 
 const (
@@ -118,7 +119,9 @@
 	// ConnectionLost is true if the connection was lost or timed out before the end of the stream, or if a token is
 	// missing; the engine may still hold the stream.
 	ConnectionLost bool
-	Failure        *core.Failure
+	// RemoteClosed is true if the connection was lost because the engine closed or reset it.
+	RemoteClosed bool
+	Failure      *core.Failure
 }
 
 // Decode requests a stream of tokens and passes each token to onToken in order. It checks offsets and attempt ID, so
@@ -182,5 +185,9 @@
 			return DecodeResult{Failure: core.Fail(core.KindCancelled, "the caller disconnected")}
 		}
 	}
-	return DecodeResult{ConnectionLost: true, Failure: core.Fail(core.KindUpstreamFailed, "the stream ended before token %d: %v", next, lines.Err())}
+	err := lines.Err()
+	return DecodeResult{
+		ConnectionLost: true, RemoteClosed: err == nil || socket.ClosedByRemote(err),
+		Failure: core.Fail(core.KindUpstreamFailed, "the stream ended before token %d: %v", next, err),
+	}
 }
