platform: a stream without a length needs an event to be complete

What callers saw: a response with neither a length nor chunks ends with its connection. If the engine ended before its first event, the caller got an empty stream that looked complete, and the request counted as one that runs well.

Cause: the end of the connection is the end of such a body, and a stream without events was taken for complete. An end inside an event was a failure already.

--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -50,6 +50,10 @@
 	return h.ContentLength()
 }
 
+// EndsWithConnection reports whether the body of a response has neither a length nor chunks, so that its end is the end of the
+// connection.
+func EndsWithConnection(h *fasthttp.ResponseHeader) bool { return h.ContentLength() < chunkedLength }
+
 // Body returns a reader of the body that follows a header, including its trailer. contentLength is that of fasthttp's
 // header. If the end is marked, the reader returns io.ErrUnexpectedEOF for a body that ends early.
 func Body(br *bufio.Reader, contentLength int) io.Reader {
