--- a/io/control/loop.go
+++ b/io/control/loop.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oleanderlever/core"
@@ -25,8 +28,21 @@
 	stopOnce sync.Once
 	kernel   *core.Kernel
 	perform  func(core.Action)
+
+	// OnFull, if set before Start, is called on the control goroutine after the mailbox was full, with the number of events by
+	// kind that it held; at most once per fullInterval.
+	OnFull func(kinds map[string]int)
+	// full is set when an event found no room. tally counts the events by kind that follow, tallied is their number, and
+	// tallyAfter is when the next tally may begin.
+	full       atomic.Bool
+	tally      map[string]int
+	tallied    int
+	tallyAfter time.Time
 }
 
+// fullInterval is the shortest time between two reports of a full mailbox.
+const fullInterval = 5 * time.Second
+
 // NewLoop returns a loop that is not running; events posted to it are handled after Start.
 func NewLoop() *Loop {
 	return &Loop{mailbox: make(chan core.Event, mailboxSize), stop: make(chan struct{}), stopped: make(chan struct{})}
@@ -38,6 +54,7 @@
 	case l.mailbox <- ev:
 		return true
 	default:
+		l.full.Store(true)
 		return false
 	}
 }
@@ -109,7 +126,29 @@
 		close(in.done)
 		return
 	}
-	for _, a := range l.kernel.Step(clock.Now(), ev) {
+	now := clock.Now()
+	l.tallyEvent(now, ev)
+	for _, a := range l.kernel.Step(now, ev) {
 		l.perform(a)
 	}
 }
+
+// tallyEvent counts the events that a full mailbox held.
+func (l *Loop) tallyEvent(now time.Time, ev core.Event) {
+	if l.tally == nil {
+		if l.OnFull == nil || !l.full.Load() || now.Before(l.tallyAfter) {
+			return
+		}
+		l.tally, l.tallied = map[string]int{}, 0
+	}
+	if m, ok := ev.(core.MessageReceived); ok {
+		ev = m.Message
+	}
+	l.tally[strings.TrimPrefix(fmt.Sprintf("%T", ev), "core.")]++
+	if l.tallied++; l.tallied < mailboxSize {
+		return
+	}
+	l.OnFull(l.tally)
+	l.tally, l.tallyAfter = nil, now.Add(fullInterval)
+	l.full.Store(false)
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -78,6 +78,9 @@
 	if s.ReplicasFrom == settings.ReplicasFromSeeds {
 		addStoredReplicas(&d.host.Env)
 	}
+	d.host.Loop.OnFull = func(kinds map[string]int) {
+		log.Warn().Interface("events", kinds).Msg("the mailbox was full; events of remote ends were dropped or refused")
+	}
 	d.host.Loop.Start(core.New(d.host.Env), d.perform)
 	for _, i := range d.instances {
 		if i.Start != nil {
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -132,6 +132,7 @@
 			return err
 		}
 		counters.Add("bytesIn", int64(len(e.GetBody())))
+		receivedByKind.add(e.GetType())
 		if !s.loop.TryPost(core.MessageReceived{From: core.HostID(b.GetFrom()), Message: m}) {
 			counters.Add("noRoom", 1)
 		}
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -244,6 +244,7 @@
 		if e, err := Encode(m); err == nil {
 			b.Messages = append(b.Messages, e)
 			counters.Add("bytesOut", int64(len(e.Body)))
+			sentByKind.add(e.GetType())
 		}
 		if len(b.Messages) >= maxBatchMessages {
 			return b
