core/replica: a standby becomes a voter before the one that it replaces is removed

What operators would see: a voter is down for two seconds, another one loses its data directory at the wrong moment and power goes, and from then on no configuration can be changed or read, although a single data directory is lost.

Cause: the leader removed the unresponsive voter first and promoted the standby afterwards. Between the two changes, some milliseconds or, with a slow disk on the standby, seconds, the set has two voters. Losing one's directory is losing the majority, while the directory of the removed voter is intact and no longer counts. Found while looking for other causes of the report of a configuration that could not be read: redundancy that is given up before it is replaced.

Change: the standby becomes a voter first, then the old voter is removed. Both orders need the same hosts to be up. If the old voter has responded again meanwhile, the voter that was added last is removed.

--- a/core/replica/join_test.go
+++ b/core/replica/join_test.go
@@ -1,12 +1,14 @@
 package replica_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"oleanderlever/core"
+	"oleanderlever/core/harness"
 	"oleanderlever/core/replica"
 )
 
@@ -133,3 +135,45 @@
 		require.Empty(t, c.violations)
 	}
 }
+
+// A voter is down, and while a standby takes its place, another voter loses its data directory and all hosts lose power. Only one
+// data directory is lost, so nothing may be lost and the replicas must recover, at whatever change of the replica set this is.
+func TestDataDirectoryLostWhileVoterIsReplaced(t *testing.T) {
+	for nth := 1; nth <= 2; nth++ {
+		for seed := range uint64(10) {
+			c := newJoinCluster(t, seed, 5, 3)
+			require.True(t, c.RunUntil(10*time.Second, func() bool { return len(c.voterHosts()) == 3 }))
+			version := c.applyChange(c.Hosts[6], putAccount(1))
+			leader := c.leader()
+			voters := c.voterHosts()
+			down := c.Hosts[slices.IndexFunc(c.Hosts, func(h *harness.Host) bool { return h != leader && slices.Contains(voters, h.ID) })]
+			c.Crash(down)
+			changes := 0
+			c.onReplicaSet = func() {
+				if changes++; changes == nth {
+					c.After(0, func() { c.loseDiskAndPower(leader) })
+				}
+			}
+			c.RunFor(5 * time.Second)
+			require.GreaterOrEqual(t, changes, nth, "seed %d", seed)
+			c.onReplicaSet = nil
+			for _, h := range c.Hosts {
+				if !h.Up {
+					c.Boot(h)
+				}
+			}
+			s, ok := c.tryStatus(c.Hosts[6])
+			require.True(t, ok, "change %d, seed %d: no leader responds", nth, seed)
+			require.GreaterOrEqual(t, s.Version, version, "change %d, seed %d", nth, seed)
+			require.Empty(t, c.violations)
+		}
+	}
+}
+
+// loseDiskAndPower takes a host's data directory and the power of all hosts.
+func (c *cluster) loseDiskAndPower(lost *harness.Host) {
+	c.LoseDisk(lost)
+	for _, h := range c.Hosts {
+		c.Crash(h)
+	}
+}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -24,6 +24,8 @@
 	committed  map[core.LogIndex]string
 	leaders    map[core.Epoch]core.HostID
 	violations []string
+	// onReplicaSet, if set, is called when a replica first applies a change of the replica set.
+	onReplicaSet func()
 }
 
 // watchPlugin returns a plug-in that records the committed entries and leader changes of one host.
@@ -47,6 +49,9 @@
 			fmt.Sprintf("%s applied %s at %d, another replica applied %s", h, text, e.Index, first))
 		return
 	}
+	if _, ok := c.committed[e.Index]; !ok && e.Kind == core.EntryReplicaSet && c.onReplicaSet != nil {
+		c.onReplicaSet()
+	}
 	c.committed[e.Index] = text
 }
 
--- a/core/replica/replicaset.go
+++ b/core/replica/replicaset.go
@@ -109,7 +109,7 @@
 func (c *component) nextReplicaSet(t *core.Turn, set core.ReplicaSet) (replicaSetChange, bool) {
 	replicas := slices.Clone(set.Members)
 	for _, propose := range []func(*core.Turn, []core.Replica) (replicaSetChange, bool){
-		c.promoteLearner, c.addLearner, c.removeLearner,
+		c.removeExtraVoter, c.promoteLearner, c.addLearner, c.removeLearner,
 	} {
 		if next, ok := propose(t, replicas); ok {
 			return next, true
@@ -118,8 +118,38 @@
 	return replicaSetChange{}, false
 }
 
-// promoteLearner makes a learner that has caught up a voter. A voter that it replaces is removed first, by a separate
-// change: the old data directory of its host or, if there are enough voters, one that is unresponsive or leaving.
+// removeExtraVoter removes a voter if there are more than the target: one that is unresponsive or leaving or, if it has
+// responded again in the meantime, the one that was added last.
+func (c *component) removeExtraVoter(t *core.Turn, replicas []core.Replica) (replicaSetChange, bool) {
+	if c.targetVoters == 0 || len(c.voters()) <= c.targetVoters {
+		return replicaSetChange{}, false
+	}
+	extra := c.unresponsiveVoter(t, replicas)
+	if extra < 0 && c.allVotersHaveResponded() {
+		for i, r := range replicas {
+			if r.Voter && r.Host != c.self {
+				extra = i
+			}
+		}
+	}
+	if extra < 0 {
+		return replicaSetChange{}, false
+	}
+	host := replicas[extra].Host
+	return replicaSetChange{slices.Delete(replicas, extra, extra+1), host, "another voter has taken its place"}, true
+}
+
+// allVotersHaveResponded reports whether each other voter has responded to this leader.
+func (c *component) allVotersHaveResponded() bool {
+	return !slices.ContainsFunc(c.voters(), func(r core.Replica) bool {
+		pr := c.peers[r.Host]
+		return r.Host != c.self && (pr == nil || pr.ackedRound == 0)
+	})
+}
+
+// promoteLearner makes a learner that has caught up a voter. The old data directory of its host, which is lost, is removed
+// first, by a separate change. A voter that is unresponsive or leaving is removed only after the learner has become a voter in
+// its place: its data directory may be needed if another one is lost meanwhile.
 func (c *component) promoteLearner(t *core.Turn, replicas []core.Replica) (replicaSetChange, bool) {
 	for i, r := range replicas {
 		if r.Voter || !c.isCaughtUp(t, r) {
@@ -129,16 +159,14 @@
 		if old >= 0 {
 			return replicaSetChange{slices.Delete(replicas, old, old+1), r.Host, "the host has replaced its data directory"}, true
 		}
-		if len(c.voters()) < c.targetVoters || c.targetVoters == 0 {
+		voters := len(c.voters())
+		switch {
+		case voters < c.targetVoters || c.targetVoters == 0:
 			replicas[i].Voter = true
 			return replicaSetChange{replicas, r.Host, "a learner has caught up"}, true
-		}
-		if unresponsive := c.unresponsiveVoter(t, replicas); unresponsive >= 0 {
-			host := replicas[unresponsive].Host
-			return replicaSetChange{
-				slices.Delete(replicas, unresponsive, unresponsive+1), host,
-				"a voter is unresponsive or leaving and a standby is ready",
-			}, true
+		case voters == c.targetVoters && c.unresponsiveVoter(t, replicas) >= 0:
+			replicas[i].Voter = true
+			return replicaSetChange{replicas, r.Host, "a voter is unresponsive or leaving and a standby is ready"}, true
 		}
 	}
 	return replicaSetChange{}, false
