core/replica, io/host: appends and batches are bounded with their documents

What operators could see: a replica with an empty data directory takes long to catch up after many large configurations, or does not.

Cause: an append was bounded by the bodies of stored responses only, so that one held all documents of the log, up to 8 MB of text, twice that with what was decoded; it was sent again every 200 ms until it was acknowledged. A batch had at most 128 messages but no limit of bytes below the 64 MB at which the receiver closes the connection.

Change: documents count for the bound of 1 MiB, and a batch takes no more messages from 4 MiB on.

Evidence: TestAppendRequestsBoundDocuments, 40 documents of 150 KB: one append of 6.1 MB before, at most 1 MiB now.

--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -39,7 +39,7 @@
 	rest := l.entries[i-l.snapshotIndex-1:]
 	size := 0
 	for n := range rest {
-		size += entryOverheadBytes + len(rest[n].Idempotency.Response.Body)
+		size += entryOverheadBytes + len(rest[n].Idempotency.Response.Body) + documentSizeRatio*sourceBytes(&rest[n])
 		if n > 0 && size > maxBytes {
 			return slices.Clone(rest[:n])
 		}
@@ -47,8 +47,21 @@
 	return slices.Clone(rest)
 }
 
-// entryOverheadBytes is the estimated size of an entry without the response body that it may contain.
-const entryOverheadBytes = 256
+const (
+	// entryOverheadBytes is the estimated size of an entry without the response body or document that it may contain.
+	entryOverheadBytes = 256
+	// documentSizeRatio is the estimated size of a document, which has the operator's text and what it was decoded to, relative
+	// to the text.
+	documentSizeRatio = 2
+)
+
+// sourceBytes returns the size in bytes of the text of the configuration document that an entry may contain.
+func sourceBytes(e *core.Entry) int {
+	if d := e.Command.Change.Document; d != nil {
+		return len(d.Source)
+	}
+	return 0
+}
 
 // merge adds the entries that follow prev, after it has removed conflicting ones, and returns the entries that are new.
 func (l *entryLog) merge(prev core.LogIndex, entries []core.Entry) []core.Entry {
@@ -101,9 +114,7 @@
 func (l *entryLog) documentBytes() int {
 	n := 0
 	for i := range l.entries {
-		if d := l.entries[i].Command.Change.Document; d != nil {
-			n += len(d.Source)
-		}
+		n += sourceBytes(&l.entries[i])
 	}
 	return n
 }
--- a/io/host/transport.go
+++ b/io/host/transport.go
@@ -21,7 +21,9 @@
 	sendQueueSize = 1024
 	// maxBatchMessages limits the number of messages in one batch.
 	maxBatchMessages = 128
-	dialTimeout      = time.Second
+	// batchBytes is the size of the messages from which on no more are added to a batch, far below maxBatchBytes.
+	batchBytes  = 4 << 20
+	dialTimeout = time.Second
 	// writeTimeout limits the time for one write; the connection is closed when it expires.
 	writeTimeout = 2 * time.Second
 	// redialDelay is the minimum time between two attempts to open a connection.
@@ -240,13 +242,15 @@
 // collectBatch adds the queued messages to the first one, so that a busy sender makes few large writes.
 func (s *sender) collectBatch(first core.Message) *Batch {
 	b := &Batch{From: string(s.t.self)}
+	size := 0
 	for m := first; ; {
 		if e, err := Encode(m); err == nil {
 			b.Messages = append(b.Messages, e)
+			size += len(e.GetBody())
 			counters.Add("bytesOut", int64(len(e.Body)))
 			sentByKind.add(e.GetType())
 		}
-		if len(b.Messages) >= maxBatchMessages {
+		if len(b.Messages) >= maxBatchMessages || size >= batchBytes {
 			return b
 		}
 		select {
