core/replica: a replica set has three voters at least

What operators would see: with tolerate = 0, for a deployment that tolerates the loss of data centres and not of hosts, the desired number of voters is one. The set of the three seeds then lost a voter whenever one was replaced and, since extra voters are removed, at once; the next host that is down stops all changes.

Cause: the number of voters follows from tolerate alone. Change: never below three.

TestReplicaSetDoesNotShrinkBelowThree fails before and passes.

--- a/core/replica/join_test.go
+++ b/core/replica/join_test.go
@@ -179,6 +179,21 @@
 	}
 }
 
+// A deployment that tolerates no loss of hosts, only of data centres, has three replicas all the same, also after one of them was
+// away.
+func TestReplicaSetDoesNotShrinkBelowThree(t *testing.T) {
+	c := newJoinCluster(t, 1, 4, 1)
+	require.True(t, c.RunUntil(10*time.Second, func() bool { return len(c.voterHosts()) == 3 }))
+	down := c.Hosts[1]
+	c.Crash(down)
+	c.RunFor(5 * time.Second)
+	require.Len(t, c.voterHosts(), 3)
+	c.Boot(down)
+	c.RunFor(5 * time.Second)
+	require.Len(t, c.voterHosts(), 3)
+	require.Empty(t, c.violations)
+}
+
 // A host with an empty data directory catches up with many large documents. One request must not carry all of them: it would take
 // a small host longer to send and to decode than the time after which the leader sends it again.
 func TestAppendRequestsBoundDocuments(t *testing.T) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -33,7 +33,9 @@
 	snapshotByteThreshold = 8 << 20
 	// maxAppendBytes bounds the size in bytes of the entries in one AppendRequest.
 	maxAppendBytes = 1 << 20
-	rank           = 10
+	// minVoters is the smallest desired number of voters: with fewer, a host that is down for a moment stops all changes.
+	minVoters = 3
+	rank      = 10
 )
 
 type role uint8
@@ -165,6 +167,9 @@
 		self: env.Self, disk: env.Disk, initialReplicas: slices.Sorted(slices.Values(env.InitialReplicas)),
 		targetVoters: env.TargetVoters, rand: env.Rand, unsafeOptions: unsafeOptions,
 	}
+	if c.targetVoters > 0 {
+		c.targetVoters = max(c.targetVoters, minVoters)
+	}
 	c.hardState = env.StoredState.Hard
 	if s := env.StoredState.Snapshot; s != nil {
 		c.log.compactTo(s)
