core/quarantine: only own responses make a part sound

Found by reading: a host that heard from another one that a part is sound took it for sound for a minute, and told others so in turn.

Change: hearing clears the evidence so far; only a host's own complete responses of the last minute count as sound. A part that is known to be sound stays so when the table is full.

TestHearsayDoesNotProtectAPart failed before: no host had the quarantine after four minutes; now within 90 s.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -140,7 +140,7 @@
 		maps.DeleteFunc(c.sound, func(_ uint64, at time.Time) bool { return t.Now.Sub(at) >= soundTTL/2 })
 	}
 	for _, p := range parts {
-		if len(c.sound) < maxSound {
+		if _, known := c.sound[p]; known || len(c.sound) < maxSound {
 			c.sound[p] = t.Now
 		}
 		if c.suspects[p] != nil {
@@ -349,11 +349,9 @@
 	case o.PromptCrash != nil:
 		news = c.addCrash(t, o.PromptCrash.Upstream, o.PromptCrash.Parts, t.Now.Add(-item.Age))
 	case o.PromptSound != nil:
+		// Only this host's own responses make a part sound here; what hosts hear of each other would never be forgotten.
 		news = c.suspects[o.PromptSound.Part] != nil
 		c.clear(t, o.PromptSound.Part, "a response was complete on "+string(item.ID.Host))
-		if news {
-			c.sound[o.PromptSound.Part] = t.Now
-		}
 	case o.PromptQuarantine != nil:
 		news = c.adopt(t, *o.PromptQuarantine, item.ID.Host)
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -52,6 +52,10 @@
 }
 
 func newFleet(t *testing.T, seed uint64, hosts, engines int, deadly ...uint64) *fleet {
+	return newFleetWithDelay(t, seed, hosts, engines, 5*time.Millisecond, deadly...)
+}
+
+func newFleetWithDelay(t *testing.T, seed uint64, hosts, engines int, maxDelay time.Duration, deadly ...uint64) *fleet {
 	f := &fleet{t: t, deadly: map[uint64]bool{}, quarantined: map[core.HostID][][]uint64{}, refused: map[uint64]int{}}
 	for _, p := range deadly {
 		f.deadly[p] = true
@@ -65,7 +69,7 @@
 		}}
 	}}
 	f.Run = harness.New(harness.Config{
-		Seed: seed, Hosts: hosts, MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond, LossRate: 0.02, DuplicateRate: 0.02,
+		Seed: seed, Hosts: hosts, MinDelay: time.Millisecond, MaxDelay: maxDelay, LossRate: 0.02, DuplicateRate: 0.02,
 		Plugins: []core.Plugin{gossip.Plugin(), quarantine.Plugin(), watch},
 	})
 	f.OnSend = func(*harness.Host, core.SendMessage) { f.messages++ }
@@ -336,3 +340,19 @@
 	}
 	require.Zero(t, f.refusingHosts(stylePart), "one engine alone may be at fault")
 }
+
+// What hosts have heard of a part must not keep it from being found: a host had a complete response with it, told the others, and
+// from then on it crashes engines.
+func TestHearsayDoesNotProtectAPart(t *testing.T) {
+	f := newFleet(t, 1, 9, 12)
+	f.Post(f.Hosts[0], core.StreamCompleted{PromptParts: []uint64{deadlyPart}})
+	for n := range 60 {
+		f.Post(f.Hosts[1+n%8], core.StreamCrashed{Upstream: f.engines[n%12].id, PromptParts: []uint64{deadlyPart}})
+		f.RunFor(4 * time.Second)
+		if f.refusingHosts(deadlyPart) == 9 {
+			break
+		}
+	}
+	require.Equal(t, 9, f.refusingHosts(deadlyPart))
+	require.Less(t, f.Now.Sub(harness.StartTime), 90*time.Second, "the response counts for a minute")
+}
