core/quarantine: hosts do not keep up each other's quarantines

Found by reading: a list of quarantines has the time that is left, without the time on the way.

Change: a list never extends a quarantine, and begins none that ends before the next check.

TestQuarantineIsNotKeptUpByHosts, 30 hosts and delays up to a second, failed before: all 30 still refused 30 s after the end.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -305,15 +305,10 @@
 	return parts
 }
 
-// begin begins a quarantine, or extends one that is in force, and reports whether requests are kept away that were not before.
+// begin begins a quarantine and reports whether requests are kept away that were not before.
 func (c *component) begin(t *core.Turn, q quarantine, reason string) bool {
-	for n := range c.quarantines {
-		if isSubset(c.quarantines[n].parts, q.parts) {
-			if c.quarantines[n].until.Before(q.until) && len(c.quarantines[n].parts) == len(q.parts) {
-				c.quarantines[n].until = q.until
-			}
-			return false
-		}
+	if slices.ContainsFunc(c.quarantines, func(old quarantine) bool { return isSubset(old.parts, q.parts) }) {
+		return false
 	}
 	if len(c.quarantines) >= maxQuarantines {
 		return false
@@ -361,8 +356,12 @@
 }
 
 // adopt quarantines parts as another host does, unless one of them is known here to be sound or the crashes that this host
-// knows of say otherwise. The other host may have missed reports.
+// knows of say otherwise. The other host may have missed reports. It never extends a quarantine, and it leaves one that ends
+// before the next check, since the time on the way is not counted: hosts that told each other would go on for ever.
 func (c *component) adopt(t *core.Turn, q core.PromptQuarantine, from core.HostID) bool {
+	if q.Remaining <= checkInterval {
+		return false
+	}
 	for _, p := range q.Parts {
 		if c.isSound(p, t.Now) {
 			c.announceSound(t, p)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -356,3 +356,13 @@
 	require.Equal(t, 9, f.refusingHosts(deadlyPart))
 	require.Less(t, f.Now.Sub(harness.StartTime), 90*time.Second, "the response counts for a minute")
 }
+
+// Hosts that tell each other of their quarantines must not keep them up, although messages take up to a second.
+func TestQuarantineIsNotKeptUpByHosts(t *testing.T) {
+	f := newFleetWithDelay(t, 1, 30, 12, time.Second)
+	for n := range 3 {
+		f.Post(f.Hosts[n], core.StreamCrashed{Upstream: f.engines[n].id, PromptParts: []uint64{deadlyPart}})
+	}
+	f.RunFor(4*time.Minute + 30*time.Second)
+	require.Zero(t, f.refusingHosts(deadlyPart))
+}
