core/entry: a quarantine during the prefill frees the KV cache

Found by reading: a request that was quarantined while its prompt was prefilled was refused with a plain release. Its KV cache stayed on the prefill engine until it expired, and the release counted as a success of a decode engine that had not been called.

Change: the release cancels the attempt. TestQuarantineDuringPrefillFreesTheKVCache failed before: the engine still had the attempt after 100 ms.

--- a/core/entry/quarantine.go
+++ b/core/entry/quarantine.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// refuseQuarantined refuses a request whose prefill is complete, and releases its placement.
+// refuseQuarantined refuses a request whose prefill is complete. The cancel frees the prefill's KV cache, and keeps the release from
+// counting as a success of the decode engine.
 func (c *component) refuseQuarantined(t *core.Turn, r *request, f *core.Failure) {
 	f.NotExecuted = !r.mayHaveRun
-	c.sendRelease(t, r, core.PlacementRelease{})
+	c.sendRelease(t, r, core.PlacementRelease{Cancel: true})
 	c.refuse(t, r, f)
 }
--- a/core/entry/quarantine_test.go
+++ b/core/entry/quarantine_test.go
@@ -96,3 +96,19 @@
 	require.Equal(t, core.KindQuarantined, waiting.Failure.Kind)
 	require.True(t, waiting.Failure.NotExecuted)
 }
+
+// A request that is quarantined during its prefill must not leave its KV cache on the engine until that expires.
+func TestQuarantineDuringPrefillFreesTheKVCache(t *testing.T) {
+	c := newQuarantineCluster(t, 3)
+	x := c.submitPrompt(c.Hosts[4], sharedPart, deadlyPart)
+	prefilling := func() bool { return x.AttemptsRun > 0 }
+	require.True(t, c.RunUntil(time.Second, prefilling))
+	require.Nil(t, x.Failure)
+	c.Post(c.Hosts[4], core.QuarantineChanged{PromptParts: [][]uint64{{deadlyPart}}})
+	c.RunFor(100 * time.Millisecond)
+	require.NotNil(t, x.Failure)
+	require.Equal(t, core.KindQuarantined, x.Failure.Kind)
+	for _, e := range c.Engines {
+		require.Empty(t, e.ActiveAttempts(), "%s", e.ID)
+	}
+}
