--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -94,3 +94,28 @@
 	}
 	require.Empty(t, k.Step(now, core.MessageReceived{From: "b", Message: core.Gossip{Item: item}}))
 }
+
+// One item costs each host a few messages, whatever the number of hosts, and reaches nearly all of them in some milliseconds. The
+// figures are in docs/CAPACITY.md.
+func TestSpreadOfAnItem(t *testing.T) {
+	for _, hosts := range []int{30, 100, 340} {
+		received := map[core.HostID]int{}
+		r := harness.New(harness.Config{
+			Seed: 1, Hosts: hosts, LossRate: 0.02, MinDelay: time.Millisecond, MaxDelay: 3 * time.Millisecond,
+			Plugins: []core.Plugin{gossip.Plugin(), acceptAll(received)},
+		})
+		sent, last := 0, harness.StartTime
+		r.OnSend = func(*harness.Host, core.SendMessage) {
+			sent++
+			last = r.Now
+		}
+		for _, h := range r.Hosts {
+			r.Post(h, members(r.Hosts))
+		}
+		r.Post(r.Hosts[0], failure(1))
+		r.RunFor(time.Minute)
+		t.Logf("%d hosts: %d messages, the last one after %v; %d hosts reached", hosts, sent, last.Sub(harness.StartTime), len(received)+1)
+		require.LessOrEqual(t, sent, 4*hosts)
+		require.Greater(t, len(received), hosts*9/10)
+	}
+}
