core/quarantine: replicas keep the quarantines while all entry hosts restart

Cause: only entry hosts knew the quarantines. Change: each host that begins one tells two replicas, and the replicas tell every host that starts.

TestRestartOfAllEntryHostsKeepsTheQuarantine failed before.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -34,8 +34,10 @@
 	maxQuarantines = 256
 	// maxReportsPerCrash limits the streams that a host reports for one crash.
 	maxReportsPerCrash = 8
-	// welcomers is the number of hosts that tell a host which has started what is quarantined.
-	welcomers = 3
+	// welcomers is the number of entry hosts that tell one which has started what is quarantined, toldReplicas the number of
+	// replicas that each host tells of a new quarantine.
+	welcomers    = 3
+	toldReplicas = 2
 )
 
 // crash is an engine crash with a stream that had the part.
@@ -75,9 +77,13 @@
 	// announced has the time at which this host last told others that a part is sound.
 	announced map[uint64]time.Time
 	// reports counts this host's reports of the latest crash of each engine.
-	reports   map[core.UpstreamID]*reportCount
-	present   map[hostBoot]bool
+	reports map[core.UpstreamID]*reportCount
+	present map[hostBoot]bool
+	// peers are the other entry hosts, replicas the other hosts with a data directory. Replicas keep the quarantines while all
+	// entry hosts restart.
 	peers     []core.HostID
+	replicas  []core.HostID
+	isReplica bool
 	rand      *rand.Rand
 	nextCheck time.Time
 	// compareAt is when the suspects are next compared, zero if nothing has changed.
@@ -97,7 +103,7 @@
 
 func newComponent(env core.Env) core.Component {
 	c := &component{
-		self: env.Self, rand: env.Rand, suspects: map[uint64]*suspect{}, sound: map[uint64]time.Time{}, announced: map[uint64]time.Time{},
+		self: env.Self, isReplica: env.Disk != "", rand: env.Rand, suspects: map[uint64]*suspect{}, sound: map[uint64]time.Time{}, announced: map[uint64]time.Time{},
 		reports: map[core.UpstreamID]*reportCount{}, present: map[hostBoot]bool{},
 	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
@@ -323,6 +329,10 @@
 	c.log(t, "quarantine", q.parts, reason)
 	c.publish(t)
 	c.schedule(t.Now)
+	first := c.rand.IntN(len(c.replicas) + 1)
+	for n := range min(toldReplicas, len(c.replicas)) {
+		c.sendQuarantine(t, c.replicas[(first+n)%len(c.replicas)])
+	}
 	return true
 }
 
@@ -410,7 +420,11 @@
 func (c *component) membersChanged(t *core.Turn, members []core.Member) {
 	present := map[hostBoot]bool{}
 	var hosts []core.HostID
+	c.replicas = nil
 	for i := range members {
+		if members[i].Disk != "" && members[i].Host != c.self {
+			c.replicas = append(c.replicas, members[i].Host)
+		}
 		if members[i].Entry {
 			present[hostBoot{members[i].Host, members[i].Boot}] = true
 			hosts = append(hosts, members[i].Host)
@@ -419,7 +433,7 @@
 	slices.Sort(hosts)
 	c.peers = slices.DeleteFunc(slices.Clone(hosts), func(h core.HostID) bool { return h == c.self })
 	for _, h := range slices.SortedFunc(maps.Keys(present), compareHostBoots) {
-		if !c.present[h] && h.host != c.self && c.welcomes(hosts, h.host) {
+		if !c.present[h] && h.host != c.self && (c.isReplica || c.welcomes(hosts, h.host)) {
 			c.sendQuarantine(t, h.host)
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -52,10 +52,11 @@
 }
 
 func newFleet(t *testing.T, seed uint64, hosts, engines int, deadly ...uint64) *fleet {
-	return newFleetWithDelay(t, seed, hosts, engines, 5*time.Millisecond, deadly...)
+	return newFleetOf(t, harness.Config{Seed: seed, Hosts: hosts, MaxDelay: 5 * time.Millisecond}, engines, deadly...)
 }
 
-func newFleetWithDelay(t *testing.T, seed uint64, hosts, engines int, maxDelay time.Duration, deadly ...uint64) *fleet {
+// newFleetOf returns a fleet with the seed, hosts, data directories and delays of a configuration.
+func newFleetOf(t *testing.T, c harness.Config, engines int, deadly ...uint64) *fleet {
 	f := &fleet{t: t, deadly: map[uint64]bool{}, quarantined: map[core.HostID][][]uint64{}, refused: map[uint64]int{}}
 	for _, p := range deadly {
 		f.deadly[p] = true
@@ -68,24 +69,23 @@
 			}
 		}}
 	}}
-	f.Run = harness.New(harness.Config{
-		Seed: seed, Hosts: hosts, MinDelay: time.Millisecond, MaxDelay: maxDelay, LossRate: 0.02, DuplicateRate: 0.02,
-		Plugins: []core.Plugin{gossip.Plugin(), quarantine.Plugin(), watch},
-	})
+	c.MinDelay, c.LossRate, c.DuplicateRate = time.Millisecond, 0.02, 0.02
+	c.Plugins = []core.Plugin{gossip.Plugin(), quarantine.Plugin(), watch}
+	f.Run = harness.New(c)
 	f.OnSend = func(*harness.Host, core.SendMessage) { f.messages++ }
 	for n := range engines {
 		f.engines = append(f.engines, &engine{id: core.UpstreamID(fmt.Sprint("e", n)), up: true})
 	}
-	f.publishMembers(nil)
+	f.publishMembers()
 	return f
 }
 
-// publishMembers tells all hosts which hosts are alive: all but the given one.
-func (f *fleet) publishMembers(down *harness.Host) {
+// publishMembers tells all hosts which hosts are alive: all but the given ones. Hosts with a data directory serve no callers.
+func (f *fleet) publishMembers(down ...*harness.Host) {
 	var m core.MembersChanged
 	for _, h := range f.Hosts {
-		if h != down {
-			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Entry: true})
+		if !slices.Contains(down, h) {
+			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Disk: h.Disk, Entry: h.Disk == ""})
 		}
 	}
 	for _, h := range f.Hosts {
@@ -277,11 +277,34 @@
 	f.publishMembers(h)
 	f.Boot(h)
 	require.False(t, f.refuses(h, sharedPart, deadlyPart))
-	f.publishMembers(nil)
+	f.publishMembers()
 	f.RunFor(20 * time.Millisecond)
 	require.True(t, f.refuses(h, sharedPart, deadlyPart))
 }
 
+// All entry hosts restart at once. The replicas, which serve no callers, must tell them what is quarantined.
+func TestRestartOfAllEntryHostsKeepsTheQuarantine(t *testing.T) {
+	f := newFleetOf(t, harness.Config{Seed: 1, Hosts: 12, Disks: 3, MaxDelay: 5 * time.Millisecond}, 12, deadlyPart)
+	replicas, entryHosts := f.Hosts[:3], f.Hosts[3:]
+	for n := range 3 {
+		f.Post(entryHosts[n], core.StreamCrashed{Upstream: f.engines[n].id, PromptParts: []uint64{deadlyPart}})
+	}
+	f.RunFor(time.Second)
+	require.Equal(t, 12, f.refusingHosts(deadlyPart))
+	for _, h := range entryHosts {
+		f.Crash(h)
+	}
+	f.publishMembers(entryHosts...)
+	f.RunFor(time.Second)
+	for _, h := range entryHosts {
+		f.Boot(h)
+	}
+	require.Equal(t, len(replicas), f.refusingHosts(deadlyPart))
+	f.publishMembers()
+	f.RunFor(20 * time.Millisecond)
+	require.Equal(t, 12, f.refusingHosts(deadlyPart))
+}
+
 // A part that is in all lost streams along with another one is not refused as long as that one explains more crashes.
 func TestCrashesArePutDownToTheMostSuspectPart(t *testing.T) {
 	f := newFleet(t, 1, 9, 12)
@@ -359,7 +382,7 @@
 
 // Hosts that tell each other of their quarantines must not keep them up, although messages take up to a second.
 func TestQuarantineIsNotKeptUpByHosts(t *testing.T) {
-	f := newFleetWithDelay(t, 1, 30, 12, time.Second)
+	f := newFleetOf(t, harness.Config{Seed: 1, Hosts: 30, MaxDelay: time.Second}, 12)
 	for n := range 3 {
 		f.Post(f.Hosts[n], core.StreamCrashed{Upstream: f.engines[n].id, PromptParts: []uint64{deadlyPart}})
 	}
