core/entry: Retry-After of quarantined requests

What callers saw: a request in quarantine was refused with 'Retry-After: 0.2' on the platform, the default of refusals that a moment later may be served, so that callers came back at once and in vain.

Change: the time of a quarantine, which callers cut to a third of the time that they have. The platform test failed before (0.2).

--- a/core/entry/quarantine.go
+++ b/core/entry/quarantine.go
@@ -30,7 +30,9 @@
 func (c *component) quarantineFailure(r *core.Request) *core.Failure {
 	for _, set := range c.quarantined {
 		if !slices.ContainsFunc(set, func(p uint64) bool { return !slices.Contains(r.PromptParts, p) }) {
-			return core.Fail(core.KindQuarantined, "parts %x of the prompt have crashed engines", set)
+			f := core.Fail(core.KindQuarantined, "parts %x of the prompt have crashed engines", set)
+			f.RetryAfter = f.Kind.Info().RetryAfter
+			return f
 		}
 	}
 	return nil
