core: gossip items have no age

No host sent an item later than at once, so the age was always zero, and a reader would take it for a safeguard. What is late on the way could never be seen by it. Behaviour is the same.

The test that gave a witness an age of two seconds now lets two seconds pass after it, and checks the same: one old and one new witness are not two.

--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -27,7 +27,7 @@
 // suspicion is what this host knows of the failures at one upstream.
 type suspicion struct {
 	incarnation uint64
-	// witnesses has the time of each host's latest failure.
+	// witnesses has the time at which this host learned of each host's failure.
 	witnesses       map[core.HostID]time.Time
 	avoidUnsafe     time.Time
 	avoidRepeatable time.Time
@@ -74,7 +74,7 @@
 	if failing > 1 && float64(failing) > maxAvoidedRatio*float64(len(pl.upstreams)) {
 		return
 	}
-	if c.addWitness(t, pl, u, c.self, t.Now) {
+	if c.addWitness(t, pl, u, c.self) {
 		t.Post(core.ShareObservation{Observation: core.Observation{UpstreamFailure: &core.UpstreamFailure{
 			Pool: pl.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		}}})
@@ -88,13 +88,13 @@
 		return
 	}
 	u := c.findUpstream(f.Pool, f.Upstream)
-	if u != nil && u.Incarnation == f.Incarnation && c.addWitness(t, c.pools[f.Pool], u, item.ID.Host, t.Now.Add(-item.Age)) {
+	if u != nil && u.Incarnation == f.Incarnation && c.addWitness(t, c.pools[f.Pool], u, item.ID.Host) {
 		t.Post(core.PassOn{Item: item})
 	}
 }
 
-// addWitness adds a host's failure at an upstream at the given time and reports whether it may change what other hosts do.
-func (c *component) addWitness(t *core.Turn, pl *pool, u *upstream, witness core.HostID, at time.Time) bool {
+// addWitness adds a host's failure at an upstream and reports whether it may change what other hosts do.
+func (c *component) addWitness(t *core.Turn, pl *pool, u *upstream, witness core.HostID) bool {
 	s := pl.suspicions[u.ID]
 	if s == nil || s.incarnation != u.Incarnation {
 		s = &suspicion{incarnation: u.Incarnation, witnesses: map[core.HostID]time.Time{}}
@@ -102,9 +102,9 @@
 	}
 	maps.DeleteFunc(s.witnesses, func(_ core.HostID, at time.Time) bool { return t.Now.Sub(at) >= witnessTTL })
 	_, known := s.witnesses[witness]
-	added := !known && t.Now.Sub(at) < witnessTTL && len(s.witnesses) < repeatableWitnesses
+	added := !known && len(s.witnesses) < repeatableWitnesses
 	if added {
-		s.witnesses[witness] = at
+		s.witnesses[witness] = t.Now
 	}
 	began := s.avoid(t.Now)
 	if began {
--- a/core/dispatch/suspicion_test.go
+++ b/core/dispatch/suspicion_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,20 +22,14 @@
 	return d
 }
 
-// witness is a host whose call failed, with the time since then.
-type witness struct {
-	host core.HostID
-	age  time.Duration
-}
-
 // suspect delivers the failures that other hosts have seen, and returns the messages that pass them on. Each call delivers
 // other items, as after further failures.
-func (d *driver) suspect(id core.UpstreamID, witnesses ...witness) []core.GossipItem {
+func (d *driver) suspect(id core.UpstreamID, witnesses ...core.HostID) []core.GossipItem {
 	var passedOn []core.GossipItem
 	for _, w := range witnesses {
 		d.itemNumber++
 		passedOn = append(passedOn, d.receive(core.GossipItem{
-			ID: core.GossipID{Host: w.host, Boot: 1, Number: d.itemNumber}, Hops: 3, Age: w.age,
+			ID: core.GossipID{Host: w, Boot: 1, Number: d.itemNumber}, Hops: 3,
 			Observation: core.Observation{UpstreamFailure: &core.UpstreamFailure{Pool: "desk", Upstream: id, Incarnation: 1}},
 		})...)
 	}
@@ -86,13 +79,15 @@
 // upstream, with three all calls do; the calls that can be repeated try it again first.
 func TestCallsAvoidAnUpstreamThatFailsSeveralHosts(t *testing.T) {
 	d := newServiceDriver(6)
-	d.suspect("s1", witness{host: "f1"})
-	d.suspect("s1", witness{host: "f1"}, witness{host: "f9", age: 2 * time.Second})
+	d.suspect("s1", "f9")
+	d.run(2, 3)
+	d.suspect("s1", "f1")
+	d.suspect("s1", "f1")
 	require.Equal(t, allServices, d.called(1, false))
-	d.suspect("s1", witness{host: "f2"})
+	d.suspect("s1", "f2")
 	require.Equal(t, withoutS1, d.called(2, false))
 	require.Equal(t, allServices, d.called(3, true))
-	d.suspect("s1", witness{host: "f3"})
+	d.suspect("s1", "f3")
 	require.Equal(t, withoutS1, d.called(4, true))
 	d.run(2, 3)
 	require.Equal(t, allServices, d.called(5, true))
@@ -105,10 +100,10 @@
 func TestMostOfAPoolIsNeverAvoided(t *testing.T) {
 	d := newServiceDriver(6)
 	for _, id := range []core.UpstreamID{"s1", "s2"} {
-		d.suspect(id, witness{host: "f1"}, witness{host: "f2"}, witness{host: "f3"})
+		d.suspect(id, "f1", "f2", "f3")
 	}
 	require.Equal(t, map[core.UpstreamID]bool{"s3": true, "s4": true}, d.called(1, true))
-	d.suspect("s3", witness{host: "f1"}, witness{host: "f2"}, witness{host: "f3"})
+	d.suspect("s3", "f1", "f2", "f3")
 	require.Equal(t, allServices, d.called(2, true))
 }
 
@@ -121,10 +116,10 @@
 	require.Equal(t, core.HostID("d"), reports[0].ID.Host)
 	require.Equal(t, core.UpstreamID("s1"), reports[0].Observation.UpstreamFailure.Upstream)
 	require.Empty(t, d.fail(2, "s1"), "repeated")
-	require.Len(t, d.suspect("s1", witness{host: "f1"}), 4)
-	require.Empty(t, d.suspect("s1", witness{host: "f1"}), "repeated")
-	require.Len(t, d.suspect("s1", witness{host: "f2"}), 4)
-	require.Empty(t, d.suspect("s1", witness{host: "f3"}), "enough hosts know of enough failures")
+	require.Len(t, d.suspect("s1", "f1"), 4)
+	require.Empty(t, d.suspect("s1", "f1"), "repeated")
+	require.Len(t, d.suspect("s1", "f2"), 4)
+	require.Empty(t, d.suspect("s1", "f3"), "enough hosts know of enough failures")
 	require.Len(t, d.fail(3, "s2"), 4)
 	require.Empty(t, d.fail(4, "s3"))
 }
--- a/core/message.go
+++ b/core/message.go
@@ -441,10 +441,8 @@
 type GossipItem struct {
 	ID GossipID `cbor:"id"`
 	// Hops is how often this copy may still be passed on.
-	Hops int `cbor:"hops"`
-	// Age is how long hosts have held the item since the observation; the time on the way is not included.
-	Age         time.Duration `cbor:"age,omitempty"`
-	Observation Observation   `cbor:"observation"`
+	Hops        int         `cbor:"hops"`
+	Observation Observation `cbor:"observation"`
 }
 
 // Observation is what a host shares with the other entry hosts; exactly one field is set.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -221,11 +221,11 @@
 		return
 	}
 	t.Post(core.ShareObservation{Observation: core.Observation{PromptCrash: &core.PromptCrash{Upstream: e.Upstream, Parts: parts}}})
-	c.addCrash(t, e.Upstream, parts, t.Now)
+	c.addCrash(t, e.Upstream, parts)
 }
 
 // addCrash records a crash against parts and reports whether it changed what this host knows of a part.
-func (c *component) addCrash(t *core.Turn, engine core.UpstreamID, parts []uint64, at time.Time) (changed bool) {
+func (c *component) addCrash(t *core.Turn, engine core.UpstreamID, parts []uint64) (changed bool) {
 	for _, p := range parts {
 		if c.isSound(p, t.Now) {
 			c.announceSound(t, p)
@@ -240,7 +240,7 @@
 			c.suspects[p] = s
 		}
 		s.crashes = slices.DeleteFunc(s.crashes, func(x crash) bool { return t.Now.Sub(x.at) >= crashTTL })
-		x := crash{engine: engine, at: at}
+		x := crash{engine: engine, at: t.Now}
 		if len(s.crashes) >= maxCrashes || s.saw(x) {
 			continue
 		}
@@ -352,7 +352,7 @@
 	news := false
 	switch o := item.Observation; {
 	case o.PromptCrash != nil:
-		news = c.addCrash(t, o.PromptCrash.Upstream, o.PromptCrash.Parts, t.Now.Add(-item.Age))
+		news = c.addCrash(t, o.PromptCrash.Upstream, o.PromptCrash.Parts)
 	case o.PromptSound != nil:
 		// Only this host's own responses make a part sound here; what hosts hear of each other would never be forgotten.
 		news = c.suspects[o.PromptSound.Part] != nil
--- a/core/validate.go
+++ b/core/validate.go
@@ -150,9 +150,6 @@
 	if m.Item.Hops < 0 || m.Item.Hops >= MaxGossipHops || m.Item.ID.Number == 0 {
 		return Fail(KindBadRequest, "gossip: hops or number is out of range")
 	}
-	if m.Item.Age < 0 || m.Item.Age > maxDuration {
-		return Fail(KindBadRequest, "gossip: age is out of range")
-	}
 	if err := ValidateName("gossip.host", string(m.Item.ID.Host)); err != nil {
 		return err
 	}
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -64,7 +64,7 @@
 	core.UpstreamList{Seen: []core.SeenUpstream{{Announcement: core.Announcement{ID: "u", Pool: "p", Role: core.RoleService, Addr: addr, Slots: 1}, Age: time.Second}}, Deregistered: []core.UpstreamDeregistered{{ID: "u", Incarnation: 2}}},
 	core.PlacementQueued{Attempt: placementRequest.Attempt},
 	core.UpstreamListRequest{},
-	core.Gossip{Item: core.GossipItem{ID: core.GossipID{Host: "h", Boot: 3, Number: 4}, Hops: 5, Age: time.Second, Observation: core.Observation{
+	core.Gossip{Item: core.GossipItem{ID: core.GossipID{Host: "h", Boot: 3, Number: 4}, Hops: 5, Observation: core.Observation{
 		UpstreamFailure: &core.UpstreamFailure{Pool: "p", Upstream: "u", Incarnation: 2},
 	}}},
 	core.SoundParts{Parts: []uint64{1, 2}},
