core/dispatch, platform: hosts log the limits that upstreams name

Change: the header is decoded into a statement that comes with the events of an attempt; dispatch stores the limit with its time and source, logs a change and has a gauge. Nothing decides by it yet. A response of another request is no statement, also to a prefill.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -83,6 +83,8 @@
 		c.forward(t, e.Announcement.Pool, core.UpstreamUpdate{Announcement: &e.Announcement})
 	case core.UpstreamReported:
 		c.forward(t, e.Report.Pool, core.UpstreamUpdate{Report: &e.Report})
+	case core.UpstreamStated:
+		c.upstreamStated(t, e)
 	case core.CancelEnded:
 		c.handleCancelEnded(e)
 	case core.ObservationReceived:
@@ -291,8 +293,9 @@
 }
 
 func (c *component) gauges(set func(string, int64)) {
-	var queued, reserved, upstreams int
+	var queued, reserved, upstreams, limited int
 	for _, pl := range c.pools {
+		limited += pl.limitedCount()
 		queued += pl.queueLength()
 		reserved += len(pl.reservations)
 		upstreams += len(pl.upstreams)
@@ -301,5 +304,6 @@
 	set("queued", int64(queued))
 	set("placed", int64(reserved))
 	set("upstreams", int64(upstreams))
+	set("limitedUpstreams", int64(limited))
 	set("cancelsOpen", int64(len(c.cancels)))
 }
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -62,6 +62,7 @@
 	consecutiveFailures int
 	breakerOpenUntil    time.Time
 	backoff             time.Duration
+	limit               rateLimit
 	// decodeIndex and prefillIndex are the positions in the pool's candidate heaps, or -1.
 	decodeIndex  int
 	prefillIndex int
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -94,12 +94,16 @@
 	case core.RecordOutcomeEnded:
 		c.recordOutcomeEnded(t, e.Request)
 	case core.PrefillEnded:
+		c.stated(t, e.Attempt, e.Statement)
 		c.prefillEnded(t, e)
 	case core.FirstToken:
+		c.stated(t, e.Attempt, e.Statement)
 		c.firstToken(t, e.Attempt)
 	case core.DecodeEnded:
+		c.stated(t, e.Attempt, e.Statement)
 		c.decodeEnded(t, e)
 	case core.CallEnded:
+		c.stated(t, e.Attempt, e.Statement)
 		c.callEnded(t, e)
 	case core.ConfigActivated:
 		c.config = e.Config
@@ -388,6 +392,13 @@
 	c.attemptFailed(t, r, e.Failure, r.grant.Decode)
 }
 
+// stated passes on what an upstream said of itself in the response to an attempt.
+func (c *component) stated(t *core.Turn, a core.AttemptID, s *core.UpstreamStatement) {
+	if r := c.requests[a.Request]; r != nil && s != nil {
+		t.Post(core.UpstreamStated{Pool: r.pool, Statement: *s})
+	}
+}
+
 func (c *component) callEnded(t *core.Turn, e core.CallEnded) {
 	r := c.requests[e.Attempt.Request]
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stageCall {
--- a/core/request.go
+++ b/core/request.go
@@ -67,10 +67,15 @@
 	KV           KVRef
 	PromptTokens Tokens
 	Failure      *Failure
+	// Statement is what the upstream said of itself, or nil if it did not respond.
+	Statement *UpstreamStatement
 }
 
 // FirstToken is the event that an attempt produced the first token of the response.
-type FirstToken struct{ Attempt AttemptID }
+type FirstToken struct {
+	Attempt   AttemptID
+	Statement *UpstreamStatement
+}
 
 // DecodeEnded is the event that a RunDecode ended; RelayedTokens counts the tokens relayed by all attempts of the
 // request.
@@ -82,6 +87,8 @@
 	ConnectionLost bool
 	// RemoteClosed is true if the connection was lost because the engine closed or reset it.
 	RemoteClosed bool
+	// Statement is what the upstream said of itself, or nil if it did not respond.
+	Statement *UpstreamStatement
 }
 
 // CallEnded is the event that a RunCall ended.
@@ -89,6 +96,8 @@
 	Attempt  AttemptID
 	Response StoredResponse
 	Failure  *Failure
+	// Statement is what the upstream said of itself, or nil if it did not respond.
+	Statement *UpstreamStatement
 }
 
 // RunPrefill sends the request's prompt and the tokens relayed so far to a prefill engine.
