--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -47,6 +47,7 @@
 	// PrefilledTokens counts the prompt tokens that were computed, WastedTokens those whose KV cache no decode used.
 	PrefilledTokens core.Tokens
 	WastedTokens    core.Tokens
+	RateLimit
 
 	upstreams     *FakeUpstreams
 	index         int
@@ -207,6 +208,7 @@
 			return
 		}
 		x.AttemptsRun++
+		e.Arrivals = append(e.Arrivals, f.run.Now)
 		if e.Stalled {
 			f.after(x, a.Timeout, func() { f.post(x, core.PrefillEnded{Attempt: a.Attempt, Failure: connectionBroken()}) })
 			return
@@ -242,9 +244,10 @@
 		}
 		k.ready = true
 		f.run.After(e.KVHandleTTL, func() { e.freeKV(handle, k) })
-		f.after(x, f.NetworkDelay, func() {
-			f.post(x, core.PrefillEnded{Attempt: a.Attempt, KV: core.KVRef{Addr: a.Addr, Handle: handle}, PromptTokens: prompt})
-		})
+		ended := core.PrefillEnded{
+			Attempt: a.Attempt, KV: core.KVRef{Addr: a.Addr, Handle: handle}, PromptTokens: prompt, Statement: e.statement(e.ID, f.run.Now),
+		}
+		f.after(x, f.NetworkDelay, func() { f.post(x, ended) })
 	})
 }
 
@@ -281,6 +284,7 @@
 			f.decodeEnded(x, a.Attempt, unreachable(), false)
 			return
 		}
+		e.Arrivals = append(e.Arrivals, f.run.Now)
 		if e.Stalled {
 			f.run.After(a.TokenTimeout, func() { f.decodeEnded(x, a.Attempt, connectionBroken(), true) })
 			return
@@ -367,11 +371,12 @@
 	if s.ended || s.outputTokens == 0 {
 		return
 	}
+	statement := e.statement(e.ID, e.upstreams.run.Now)
 	e.upstreams.after(s.exchange, e.upstreams.NetworkDelay, func() {
 		x, now := s.exchange, e.upstreams.run.Now
 		if x.FirstTokenAt.IsZero() {
 			x.FirstTokenAt = now
-			e.upstreams.post(x, core.FirstToken{Attempt: a})
+			e.upstreams.post(x, core.FirstToken{Attempt: a, Statement: statement})
 		} else if now.Sub(x.lastTokenAt) > MaxTokenGap {
 			x.LateTokens++
 		}
--- a/core/harness/service.go
+++ b/core/harness/service.go
@@ -17,6 +17,7 @@
 	ServiceTime time.Duration
 	// DropResponses breaks the connection of each call after the call has run.
 	DropResponses bool
+	RateLimit
 
 	upstreams *FakeUpstreams
 	index     int
@@ -62,9 +63,13 @@
 			return
 		}
 		x.AttemptsRun++
+		s.Arrivals = append(s.Arrivals, f.run.Now)
 		f.run.After(s.ServiceTime, func() {
 			f.CallCounts[x.Content]++
-			ended := core.CallEnded{Attempt: a.Attempt, Response: core.StoredResponse{Status: 200, Body: []byte(x.Content)}}
+			ended := core.CallEnded{
+				Attempt: a.Attempt, Response: core.StoredResponse{Status: 200, Body: []byte(x.Content)},
+				Statement: s.statement(s.ID, f.run.Now),
+			}
 			if s.DropResponses || !s.Up {
 				ended = core.CallEnded{Attempt: a.Attempt, Failure: connectionBroken()}
 			}
