core/dispatch: upstreams get no more than the limit that they name

Cause: no decision depended on the limit. Each host sent without asking the others, and a prefill is a request like a decode. Change: the dispatcher of a pool keeps a token bucket for each limited upstream (rate of the limit, a burst of one request and half a second), and is asked for plain services too while one of their upstreams has a limit. Hosts tell each other of limits by gossip, in full lists now and then, at the start of a host, and with the claims for a new dispatcher, together with the time of the last request that they were granted. A host that places instead of the dispatcher has a quarter of the limit, an isolated one its part. What can't be served in time is refused at once with a Retry-After from the limits. A decode refused by a limited engine is placed anew and not sent again. Under limits, large streams go to limited engines, whose memory is free; samples of demand stop, since roles must not follow idle engines; prompts without a prefill are not heaped on one engine, which holds up the events of all its streams. The time of a statement is that of the response's header: a stream that began before the limit does not end it.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -38,12 +38,28 @@
 
 func (s *selection) hasEnough() bool { return s.best != nil && len(s.alternatives) >= maxAlternatives }
 
+// isLarge reports whether an attempt needs more memory than most in a pool with rate limits. An engine that limits its
+// requests serves most tokens if the large ones go there; the others need all the memory of engines without a limit.
+func (p *pool) isLarge(memory core.Tokens) bool { return p.limited && float64(memory) > p.meanMemory }
+
+// memorySampleWeight is the weight of the newest placement in the mean memory of a pool's attempts.
+const memorySampleWeight = 0.02
+
+// recordMemory updates the mean memory of the attempts with one that was placed.
+func (p *pool) recordMemory(memory core.Tokens) {
+	if p.meanMemory == 0 {
+		p.meanMemory = float64(memory)
+	}
+	p.meanMemory += memorySampleWeight * (float64(memory) - p.meanMemory)
+}
+
 // chooseDecode selects the upstream with the lowest load plus penalty for another data centre that has a free slot and
 // enough memory. An upstream in Avoid is selected only if no other fits and the pool has no more decode candidates than
 // Avoid has entries; otherwise the attempt waits for another upstream. A suspected upstream of a plain service is selected
-// if no other has a free slot.
-func (p *pool) chooseDecode(item *queueItem, memory core.Tokens, now time.Time) (selection, placeResult) {
-	var fitting, avoided, suspect selection
+// if no other has a free slot. An upstream whose rate limit is used up is never selected. A bare attempt has no prefill engine and is not given to an
+// engine with a backlog of such prompts.
+func (p *pool) chooseDecode(item *queueItem, memory core.Tokens, bare bool, now time.Time) (selection, placeResult) {
+	var fitting, second, avoided, suspect selection
 	examined, slotFree := 0, false
 	var suspected map[core.UpstreamID]bool
 	if item.request.PlainService {
@@ -54,6 +70,9 @@
 			return false
 		}
 		slotFree = true
+		if !p.allows(u, &item.request, 1, now) || (bare && u.bareUntil.Sub(now) > maxBareBacklog) {
+			return true
+		}
 		if item.request.PlainService == (u.Role == core.RoleService) &&
 			(item.request.PlainService || p.fits(item.request.LocalLoad, u, memory)) {
 			into := &fitting
@@ -62,11 +81,16 @@
 				into = &avoided
 			case suspected[u.ID]:
 				into = &suspect
+			case !item.request.PlainService && (u.limit.rate > 0) != p.isLarge(memory):
+				into = &second
 			}
 			into.add(u, u.load+decodePenalty(u, item.request.DataCentre))
 		}
 		return !fitting.hasEnough()
 	})
+	if fitting.best == nil {
+		fitting = second
+	}
 	if fitting.best == nil {
 		fitting = suspect
 	}
@@ -127,16 +151,24 @@
 
 // choosePrefill selects the engine with the lowest cost in tokens: its queued prefill tokens, plus the prompt's tokens
 // that it has not cached, plus the transfer penalty. It compares the engines with the fewest queued tokens and those
-// that recently got a prompt with the same first block. An engine in Avoid is selected only if there is no other.
-func (p *pool) choosePrefill(item *queueItem, decodeDC core.DataCentre) selection {
+// that recently got a prompt with the same first block. An engine in Avoid is selected only if there is no other, one whose
+// rate limit is used up never.
+func (p *pool) choosePrefill(item *queueItem, decode *upstream, now time.Time) selection {
 	var preferred, avoided selection
 	consider := func(u *upstream) bool {
+		requests := 1
+		if u == decode {
+			requests = 2
+		}
+		if !p.allows(u, &item.request, requests, now) {
+			return true
+		}
 		into := &preferred
 		if slices.Contains(item.request.Avoid, u.ID) {
 			into = &avoided
 		}
 		into.add(u, float64(u.prefillTokens+item.request.PromptTokens-
-			u.cachedTokens(item.request.PrefixHashes)+p.transferPenalty(u, decodeDC)))
+			u.cachedTokens(item.request.PrefixHashes)+p.transferPenalty(u, decode.DataCentre)))
 		return !preferred.hasEnough()
 	}
 	p.prefillCandidates.Ascend(consider)
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -82,7 +82,10 @@
 // maxPrefillUtilization.
 func (p *pool) roleChangeByDemand(now time.Time) (core.Assignment, bool) {
 	groups := p.groupByRole()
-	p.demand.addSample(&groups)
+	if !p.limited {
+		// Engines that limit their requests are idle whatever the demand is.
+		p.demand.addSample(&groups)
+	}
 	changing := groups.changingToPrefill + groups.changingToDecode
 	prefillEngines := len(groups.prefillEngines) + groups.changingToPrefill
 	engines := prefillEngines + len(groups.decodeEngines) + groups.changingToDecode
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,13 @@
 	// heardLists are the lists of upstreams of the hosts that upstreams announce themselves to.
 	heardLists map[core.HostID]*heardList
 	nextSweep  time.Time
+	// nextLimitList is when the known limits are next sent to another host; zero means not scheduled. forwardedLimits are the
+	// limits that this host has sent to dispatchers of other pools.
+	nextLimitList   time.Time
+	forwardedLimits map[core.UpstreamID]core.RequestRate
+	// pendingLimits are limits of upstreams that are not known yet, as other hosts have told them.
+	pendingLimits map[core.UpstreamID]pendingLimit
+	newcomers     core.Newcomers
 	// nextAudit is when audit next runs without a change of the members.
 	nextAudit time.Time
 }
@@ -60,14 +67,17 @@
 		localPlacement: env.Placement != core.PlacementPerPool, heartbeatTimeout: env.UpstreamHeartbeatTimeout,
 		rand:  env.Rand,
 		pools: map[core.PoolID]*pool{}, cancels: map[cancelKey]*pendingCancel{},
-		heardLists: map[core.HostID]*heardList{},
+		heardLists: map[core.HostID]*heardList{}, forwardedLimits: map[core.UpstreamID]core.RequestRate{},
+		pendingLimits: map[core.UpstreamID]pendingLimit{},
 	}
 	if c.heartbeatTimeout == 0 {
 		c.heartbeatTimeout = defaultHeartbeatTimeout
 	}
-	return core.Component{Handle: c.handle, NextDeadline: func() time.Time { return c.nextSweep }, Gauges: c.gauges}
+	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
 
+func (c *component) nextDeadline() time.Time { return core.Earlier(c.nextSweep, c.nextLimitList) }
+
 func (c *component) handle(t *core.Turn, ev core.Event) {
 	switch e := ev.(type) {
 	case core.ConfigActivated:
@@ -112,6 +122,14 @@
 		c.handleRelease(t, from, m)
 	case core.ActiveAttempts:
 		c.handleActiveAttempts(t, from, m)
+	case core.PlacementGrant:
+		c.grantReceived(t, &m)
+	case core.PlacementClaimsRequest:
+		if pl := c.pools[m.Pool]; pl != nil {
+			c.sendLimits(t, from, pl)
+		}
+	case core.UpstreamLimits:
+		c.handleLimits(t, from, m)
 	}
 }
 
@@ -133,6 +151,7 @@
 		pl = newPool(id, t.Now)
 		pl.heartbeatTimeout, pl.relayed = c.heartbeatTimeout, c.localPlacement
 		pl.configure(c.config)
+		pl.limitShare = c.limitShareOf(id)
 		c.pools[id] = pl
 	}
 	c.scheduleSweep(t)
@@ -172,6 +191,7 @@
 			pl.upstreams[a.ID].placementSeq = max(pl.upstreams[a.ID].placementSeq, c.rand.Uint64N(maxInitialSeq))
 		}
 		pl.refresh(pl.upstreams[a.ID], t.Now, c.config.Policy(pl.id))
+		c.applyPendingLimit(t, a.ID)
 	}
 	c.checkAssignment(t, a)
 	c.placeQueued(t, pl)
@@ -193,7 +213,11 @@
 // handleMembersChanged audits the pools immediately.
 func (c *component) handleMembersChanged(t *core.Turn, ev core.MembersChanged) {
 	c.members = ev.Members
+	for id, pl := range c.pools {
+		pl.limitShare = c.limitShareOf(id)
+	}
 	c.forgetLists()
+	c.tellNewcomers(t)
 	c.audit(t)
 }
 
@@ -212,7 +236,8 @@
 			}
 		}
 		c.placeQueued(t, pl)
-		dispatcher, ok := c.dispatchers.DispatcherOf(id, pl.engine == nil, c.members)
+		// The pool of a plain service has a dispatcher while one of its upstreams has a limit.
+		dispatcher, ok := c.dispatchers.DispatcherOf(id, false, c.members)
 		switch {
 		case !ok || dispatcher.Host == c.self:
 		case c.localPlacement && t.Now.Sub(pl.lastRequest) < auditInterval:
@@ -235,6 +260,7 @@
 		a := pl.upstreams[id].Announcement
 		t.Send(to, core.UpstreamUpdate{Announcement: &a})
 	}
+	c.sendLimits(t, to, pl)
 	delete(c.pools, pl.id)
 }
 
@@ -252,6 +278,9 @@
 }
 
 func (c *component) tick(t *core.Turn) {
+	if core.Due(c.nextLimitList, t.Now) {
+		c.sendLimitList(t)
+	}
 	if !core.Due(c.nextSweep, t.Now) {
 		return
 	}
@@ -280,10 +309,11 @@
 	if len(pl.upstreams) > 0 {
 		pl.emptySince = t.Now
 	}
+	c.postPoolLimited(t, pl)
 	noUpstream := t.Now.Sub(pl.emptySince) >= noUpstreamTimeout
 	expired := func(item *queueItem) bool { return noUpstream || core.Due(item.deadline, t.Now) }
 	for _, item := range append(pl.onTime.removeWhere(expired), pl.late.removeWhere(expired)...) {
-		failure := core.Fail(core.KindOverloaded, "no upstream of pool %s was free in time", pl.id)
+		failure := pl.overloaded(item.request.Account, t.Now)
 		if noUpstream {
 			failure = core.Fail(core.KindNoUpstream, "pool %s has no upstream", pl.id)
 		}
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -14,6 +14,10 @@
 	// A prefill engine with more queued work than maxPrefillBacklog gets no further prompt. The backlog keeps the
 	// engine busy for a round trip; further attempts stay in the dispatcher's queue, where they can still be reordered.
 	maxPrefillBacklog = 60 * time.Millisecond
+	// A decode engine computes a prompt bareSlowdown times as slowly as a prefill engine, between the tokens of its streams. If
+	// more than maxBareBacklog of such work is queued on it, it gets no further prompt without a prefill.
+	bareSlowdown   = 2
+	maxBareBacklog = 200 * time.Millisecond
 	// latencySampleWeight is the weight of the newest sample in a moving average.
 	latencySampleWeight = 0.05
 )
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,7 +15,7 @@
 // its current state again.
 func (c *component) handleRequest(t *core.Turn, from core.HostID, m core.PlacementRequest) {
 	pl := c.pool(t, m.Pool)
-	if !m.PlainService && m.LocalLoad == nil {
+	if m.LocalLoad == nil && (!m.PlainService || c.dispatchesPlainService(pl, from)) {
 		c.requestClaims(t, pl)
 	}
 	if r := pl.reservations[m.Attempt]; r != nil {
@@ -39,9 +39,21 @@
 	item.sortTime = item.arrivedAt.Add(shortJobFactor * pl.latency.prefillTime(m.PromptTokens))
 	pl.onTime.push(item)
 	c.placeQueued(t, pl)
-	if pl.reservations[m.Attempt] == nil {
-		c.sendQueued(t, from, m.Attempt)
+	if pl.reservations[m.Attempt] != nil {
+		return
+	}
+	if wait, rate := pl.limitWait(m.Account, t.Now); rate > 0 && wait > m.Remaining && pl.onTime.find(m.Attempt) == item {
+		pl.onTime.remove(m.Attempt)
+		t.Send(from, core.PlacementRefused{Attempt: m.Attempt, Failure: *pl.overloaded(m.Account, t.Now)})
+		return
 	}
+	c.sendQueued(t, from, m.Attempt)
+}
+
+// dispatchesPlainService reports whether this host places calls to a plain service for other hosts too: with mixed placement
+// it does while an upstream has a limit.
+func (c *component) dispatchesPlainService(pl *pool, from core.HostID) bool {
+	return c.dispatchers.IsMixed() && (pl.limited || from != c.self)
 }
 
 // sendQueued tells an entry host that its attempt is queued, so that it does not take this dispatcher for unresponsive.
@@ -58,6 +70,9 @@
 	}
 	for c.placeNext(t, pl) {
 	}
+	if pl.queueLength() > 0 {
+		c.nextSweep = core.Earlier(c.nextSweep, pl.nextAllowed(t.Now))
+	}
 }
 
 const (
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -67,6 +67,13 @@
 	// placements counts placements, so that of equally loaded upstreams the least recently used one is next. It is used
 	// only with local placement.
 	placements uint64
+	// limited is true while an upstream has a rate limit, limitShare the share of the limits that this host may use.
+	// nextReturn is the latest time at which a refused caller was asked to return.
+	limited    bool
+	limitShare float64
+	nextReturn time.Time
+	// meanMemory is a moving average of the engine memory that attempts need.
+	meanMemory float64
 }
 
 // configure applies the configuration of the pool.
@@ -202,7 +209,8 @@
 // there is one.
 func (p *pool) place(item *queueItem, now time.Time, epoch core.Epoch) (*reservation, selection, placeResult) {
 	memory := p.memoryNeeded(&item.request)
-	decode, result := p.chooseDecode(item, memory, now)
+	bare := !item.request.PlainService && p.engine != nil && !p.canPrefill(&item.request, now)
+	decode, result := p.chooseDecode(item, memory, bare, now)
 	if result != placeOK {
 		return nil, decode, result
 	}
@@ -211,18 +219,28 @@
 		grant: core.PlacementGrant{Attempt: item.request.Attempt, Pool: p.id, Epoch: epoch},
 	}
 	r.grant.Decode, r.grant.DecodeAddr = decode.best.ID, decode.best.Addr
-	if item.request.PlainService || (p.engine != nil && p.prefillCandidates.Len() == 0) {
+	r.grant.DecodeLimited = decode.best.limit.rate > 0
+	prefill := selection{}
+	if !item.request.PlainService {
+		prefill = p.choosePrefill(item, decode.best, now)
+	}
+	// Where both engines limit their requests, the decode engine has time to prefill, and one request does for two.
+	bare = p.engine != nil && prefill.best == nil
+	if item.request.PlainService || bare {
 		// Without a prefill engine, decode engines with configured memory can prefill prompts too, but slower.
 		p.reserve(r, now)
+		p.countRequest(decode.best, &item.request, now)
+		decode.best.bareUntil = later(decode.best.bareUntil, now).Add(bareSlowdown * p.latency.prefillTime(item.request.PromptTokens))
 		return r, decode, placeOK
 	}
-	prefill := p.choosePrefill(item, decode.best.DataCentre)
 	if prefill.best == nil || prefill.best.busyUntil.Sub(now) > maxPrefillBacklog {
 		return nil, prefill, placeFull
 	}
 	r.grant.Prefill, r.grant.PrefillAddr = prefill.best.ID, prefill.best.Addr
 	r.prefillTokens = max(1, item.request.PromptTokens-prefill.best.cachedTokens(item.request.PrefixHashes))
 	p.reserve(r, now)
+	p.countRequest(decode.best, &item.request, now)
+	p.countRequest(prefill.best, &item.request, now)
 	if p.latency.prefillPerToken > 0 {
 		r.grant.ExpectedPrefill = prefill.best.busyUntil.Sub(now)
 	}
@@ -230,6 +248,16 @@
 	return r, prefill, placeOK
 }
 
+// canPrefill reports whether a prefill engine may get a request now.
+func (p *pool) canPrefill(request *core.PlacementRequest, now time.Time) bool {
+	possible := false
+	p.prefillCandidates.Ascend(func(u *upstream) bool {
+		possible = p.allows(u, request, 1, now)
+		return !possible
+	})
+	return possible
+}
+
 const (
 	// maxPrefixEntries bounds the entries of enginesByPrefix; above it, all are deleted. enginesPerPrefix bounds the
 	// engines in one entry.
@@ -260,6 +288,7 @@
 func (p *pool) reserve(r *reservation, now time.Time) {
 	r.reservedAt = now
 	p.reservations[r.request.Attempt] = r
+	p.recordMemory(r.memory)
 	if decode := p.upstreams[r.grant.Decode]; decode != nil {
 		decode.reservedSlots++
 		if decode.placementSeq > 0 {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -62,6 +62,15 @@
 	return a.id < b.id
 }
 
+// ahead returns how many attempts are placed before a new one of an account if all accounts get an equal share, and that one.
+func (q *fairQueue) ahead(id core.AccountID) int {
+	own := 1
+	if account := q.accounts[id]; account != nil {
+		own = max(own, len(account.items))
+	}
+	return min(q.size(), own*max(1, q.backlogged.Len()))
+}
+
 func (q *fairQueue) size() int { return len(q.byAttempt) }
 
 // push adds an attempt to its account's queue, ordered by sortTime.
--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -81,8 +81,12 @@
 	}
 }
 
-// observationReceived records a failure that another host has seen, and has it passed on if it may change what others do.
+// observationReceived records a failure or a limit that another host has seen, and has it passed on if it may change what
+// others do.
 func (c *component) observationReceived(t *core.Turn, item core.GossipItem) {
+	if l := item.Observation.UpstreamLimit; l != nil && c.mergeLimit(t, l, item.ID.Host) {
+		t.Post(core.PassOn{Item: item})
+	}
 	f := item.Observation.UpstreamFailure
 	if f == nil {
 		return
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -46,6 +46,8 @@
 	placementSeq uint64
 	// busyUntil is when the running prefills are expected to end.
 	busyUntil time.Time
+	// bareUntil is when a decode engine is expected to end the prompts that it was given without a prefill.
+	bareUntil time.Time
 	// lastPrefillEnd is when the last prefill ended.
 	lastPrefillEnd time.Time
 	// unreservedSince holds the attempts of the last report that have no reservation, with the time each was first
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -51,6 +51,8 @@
 	// emptyLists counts, for each pool whose dispatcher is sent active attempts, the consecutive empty lists.
 	emptyLists    map[core.PoolID]int
 	unsafeRetries bool
+	// limitedPools are the pools of plain services in which an upstream has a rate limit; they have a dispatcher.
+	limitedPools map[core.PoolID]bool
 	// quarantined are sets of prompt parts; a request with all parts of a set must not reach an engine.
 	quarantined [][]uint64
 }
@@ -70,6 +72,7 @@
 		dataCentre: env.DataCentre, dispatchers: dispatch.NewDispatcherSelector(env), retryPolicy: env.RetryBudget,
 		dispatcherBackoffUntil: map[core.HostID]time.Time{},
 		requests:               map[core.RequestID]*request{}, releases: map[releaseKey]*pendingRelease{}, retryBuckets: map[core.PoolID]*retryBucket{}, leaving: map[core.UpstreamID]bool{}, emptyLists: map[core.PoolID]int{},
+		limitedPools: map[core.PoolID]bool{},
 	}
 	c.timers = ordered.Heap[*request]{Index: func(r *request) *int { return &r.heapIndex }, Less: dueEarlier}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
@@ -96,8 +99,9 @@
 	case core.PrefillEnded:
 		c.stated(t, e.Attempt, e.Statement)
 		c.prefillEnded(t, e)
-	case core.FirstToken:
+	case core.StreamStarted:
 		c.stated(t, e.Attempt, e.Statement)
+	case core.FirstToken:
 		c.firstToken(t, e.Attempt)
 	case core.DecodeEnded:
 		c.stated(t, e.Attempt, e.Statement)
@@ -119,6 +123,8 @@
 		// An isolated host must not claim the other hosts' shares of the retry budget.
 		c.maxEntryHosts = max(c.maxEntryHosts, core.CountEntryHosts(e.Members))
 		c.dispatchersChanged(t)
+	case core.PoolLimited:
+		c.poolLimited(t, e)
 	case core.UpstreamLeaving:
 		c.upstreamLeaving(e)
 	case core.UpstreamsAvailable:
@@ -385,7 +391,7 @@
 		})
 		return
 	}
-	if e.Failure.NotExecuted && e.Failure.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
+	if e.Failure.NotExecuted && e.Failure.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV && !r.grant.DecodeLimited && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		c.decodeWithoutKV(t, r, e.Failure.Error(), r.grant.Decode)
 		return
 	}
--- a/core/entry/placement.go
+++ b/core/entry/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"oleanderlever/core"
@@ -15,12 +16,7 @@
 	}
 	r.stage = stagePlacement
 	r.placedWhileIsolated = c.dispatchers.IsMixed() && c.isIsolated(t.Now)
-	if !c.placesLocally(r) {
-		c.emptyLists[r.pool] = 0
-		if c.activeAttemptsAt.IsZero() {
-			c.activeAttemptsAt = t.Now.Add(activeAttemptsInterval)
-		}
-	}
+	c.scheduleActiveAttempts(t, r)
 	c.sendPlacementRequest(t, r)
 }
 
@@ -35,16 +31,45 @@
 	r.placement.Remaining = min(r.placement.Remaining, max(0, r.Deadline.Sub(t.Now)))
 	r.placement.Waited = t.Now.Sub(r.arrivedAt)
 	r.placement.LocalLoad = nil
-	if r.placedWhileIsolated && !r.plainService {
+	if r.placedWhileIsolated && (!r.plainService || c.limitedPools[r.pool]) {
 		r.placement.LocalLoad = c.localLoad(r.pool)
 	}
 	t.Send(r.dispatcher.host, r.placement)
 }
 
 // placesLocally reports whether the local dispatcher places the request: in mixed placement, if its pool is a plain
-// service or if this host is isolated.
+// service without rate limits or if this host is isolated.
 func (c *component) placesLocally(r *request) bool {
-	return c.dispatchers.IsMixed() && (r.placedWhileIsolated || r.plainService)
+	return c.dispatchers.IsMixed() && (r.placedWhileIsolated || (r.plainService && !c.limitedPools[r.pool]))
+}
+
+// poolLimited moves the waiting requests of a plain service to the dispatcher of its pool, or back to this host.
+func (c *component) poolLimited(t *core.Turn, e core.PoolLimited) {
+	if e.Limited {
+		c.limitedPools[e.Pool] = true
+	} else {
+		delete(c.limitedPools, e.Pool)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		r := c.requests[id]
+		if r.pool != e.Pool || r.stage != stagePlacement || c.requestDispatcher(r) == r.dispatcher {
+			continue
+		}
+		t.Send(r.dispatcher.host, core.PlacementRelease{Attempt: r.attemptID(), Pool: r.pool})
+		c.scheduleActiveAttempts(t, r)
+		c.sendPlacementRequest(t, r)
+	}
+}
+
+// scheduleActiveAttempts schedules the lists of active attempts if another host may place the request.
+func (c *component) scheduleActiveAttempts(t *core.Turn, r *request) {
+	if c.placesLocally(r) {
+		return
+	}
+	c.emptyLists[r.pool] = 0
+	if c.activeAttemptsAt.IsZero() {
+		c.activeAttemptsAt = t.Now.Add(activeAttemptsInterval)
+	}
 }
 
 // mayBypassDispatcher reports whether the request's dispatcher is a remote one that another dispatcher can replace.
@@ -129,7 +154,7 @@
 		m := c.dispatchers.LocalDispatcher()
 		return dispatcherID{host: m.Host, boot: m.Boot}
 	}
-	return c.poolDispatcher(r.pool, r.plainService)
+	return c.poolDispatcher(r.pool, r.plainService && !c.limitedPools[r.pool])
 }
 
 // poolDispatcher returns the dispatcher of a pool. In mixed placement, avoided hosts are left out.
--- a/core/entry/ratelimit_test.go
+++ b/core/entry/ratelimit_test.go
@@ -15,7 +15,7 @@
 // Streams that wait are served as the limits allow.
 func TestEnginesOverTheirLimit(t *testing.T) {
 	const window, grace, burst, factor = 4 * time.Second, 3 * time.Second, 5, 1.5
-	for seed := range uint64(3) {
+	for seed := range uint64(4) {
 		cfg := reliableNetwork(seed, 6)
 		cfg.Plugins = append(plugins(false), gossip.Plugin())
 		c := newCluster(t, cfg)
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -51,6 +51,10 @@
 		if r.stage < stagePlacement || c.requestDispatcher(r) == r.dispatcher {
 			continue
 		}
+		if r.plainService && r.isRunning() && c.dispatchers.IsMixed() {
+			// The call is short, and its release goes to the host that placed it.
+			continue
+		}
 		if r.stage == stagePlacement {
 			c.sendPlacementRequest(t, r)
 			continue
@@ -117,7 +121,7 @@
 		attempts[pool] = nil
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
-		if r := c.requests[id]; r.stage >= stagePlacement && r.stage != stageRecord && !(c.dispatchers.IsMixed() && r.plainService) {
+		if r := c.requests[id]; r.stage >= stagePlacement && r.stage != stageRecord && !(c.dispatchers.IsMixed() && r.plainService && r.dispatcher.host == c.dispatchers.LocalDispatcher().Host) {
 			attempts[r.pool] = append(attempts[r.pool], r.attemptID())
 		}
 	}
--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -376,7 +376,8 @@
 		x, now := s.exchange, e.upstreams.run.Now
 		if x.FirstTokenAt.IsZero() {
 			x.FirstTokenAt = now
-			e.upstreams.post(x, core.FirstToken{Attempt: a, Statement: statement})
+			e.upstreams.post(x, core.StreamStarted{Attempt: a, Statement: statement})
+			e.upstreams.post(x, core.FirstToken{Attempt: a})
 		} else if now.Sub(x.lastTokenAt) > MaxTokenGap {
 			x.LateTokens++
 		}
--- a/core/harness/ratelimit_test.go
+++ b/core/harness/ratelimit_test.go
@@ -50,7 +50,7 @@
 		{name: "restarts", limits: []core.RequestRate{1, 3, 8}, restart: true, served: 0.95},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			for seed := range uint64(3) {
+			for seed := range uint64(4) {
 				f := newFleet(t, seed)
 				calls, served := 0, 0
 				var made []*harness.Exchange
--- a/core/message.go
+++ b/core/message.go
@@ -313,6 +313,38 @@
 	ExpectedPrefill time.Duration  `cbor:"expect,omitempty"`
 	Decode          UpstreamID     `cbor:"decode"`
 	DecodeAddr      netip.AddrPort `cbor:"decodeAddr"`
+	// DecodeLimited is true if the upstream has a rate limit, so that this is the only request that may be sent to it.
+	DecodeLimited bool `cbor:"decodeLimited,omitempty"`
+}
+
+// PoolLimited is the event that the first upstream of a plain service's pool has named a rate limit, or that the last one has
+// none any more.
+type PoolLimited struct {
+	Pool    PoolID
+	Limited bool
+}
+
+// UpstreamLimit is the rate limit of an upstream, as a host has heard of it.
+type UpstreamLimit struct {
+	Pool     PoolID     `cbor:"pool"`
+	Upstream UpstreamID `cbor:"id"`
+	// Incarnation is zero if the host does not know it.
+	Incarnation uint64 `cbor:"inc,omitempty"`
+	// RateLimit is zero if the upstream has no limit any more; Age is the time since the upstream said so.
+	RateLimit RequestRate   `cbor:"rate,omitempty"`
+	Age       time.Duration `cbor:"age,omitempty"`
+	// SinceSent is the time since the host was last granted a request to the upstream, or zero.
+	SinceSent time.Duration `cbor:"sent,omitempty"`
+}
+
+// MaxUpstreamLimits is the largest number of limits in one message.
+const MaxUpstreamLimits = 4096
+
+// UpstreamLimits tells another host about the rate limits of upstreams.
+type UpstreamLimits struct {
+	Limits []UpstreamLimit `cbor:"limits"`
+	// NewDispatcher is true if the receiver becomes the dispatcher of the upstreams' pool.
+	NewDispatcher bool `cbor:"newDispatcher,omitempty"`
 }
 
 // PlacementRefused tells an entry host that an attempt is not placed.
@@ -451,6 +483,7 @@
 	PromptCrash      *PromptCrash      `cbor:"promptCrash,omitempty"`
 	PromptSound      *PromptSound      `cbor:"promptSound,omitempty"`
 	PromptQuarantine *PromptQuarantine `cbor:"promptQuarantine,omitempty"`
+	UpstreamLimit    *UpstreamLimit    `cbor:"upstreamLimit,omitempty"`
 }
 
 // UpstreamFailure is the failure of a host's call at a plain service.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -34,9 +34,7 @@
 	maxQuarantines = 256
 	// maxReportsPerCrash limits the streams that a host reports for one crash.
 	maxReportsPerCrash = 8
-	// welcomers is the number of entry hosts that tell one which has started what is quarantined, toldReplicas the number of
-	// replicas that each host tells of a new quarantine.
-	welcomers    = 3
+	// toldReplicas is the number of replicas that each host tells of a new quarantine.
 	toldReplicas = 2
 )
 
@@ -56,12 +54,6 @@
 	until time.Time
 }
 
-// hostBoot identifies a start of a host.
-type hostBoot struct {
-	host core.HostID
-	boot uint64
-}
-
 // component finds the parts by the crashes that all hosts report to each other.
 //
 // A request that crashes an engine takes others with it, and most of its parts are in sound requests too. So a part is
@@ -77,8 +69,8 @@
 	// announced has the time at which this host last told others that a part is sound.
 	announced map[uint64]time.Time
 	// reports counts this host's reports of the latest crash of each engine.
-	reports map[core.UpstreamID]*reportCount
-	present map[hostBoot]bool
+	reports   map[core.UpstreamID]*reportCount
+	newcomers core.Newcomers
 	// peers are the other entry hosts, replicas the other hosts with a data directory. Replicas keep the quarantines while all
 	// entry hosts restart.
 	peers     []core.HostID
@@ -104,7 +96,7 @@
 func newComponent(env core.Env) core.Component {
 	c := &component{
 		self: env.Self, isReplica: env.Disk != "", rand: env.Rand, suspects: map[uint64]*suspect{}, sound: map[uint64]time.Time{}, announced: map[uint64]time.Time{},
-		reports: map[core.UpstreamID]*reportCount{}, present: map[hostBoot]bool{},
+		reports: map[core.UpstreamID]*reportCount{},
 	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
@@ -418,42 +410,19 @@
 
 // membersChanged tells hosts that have started, or were away, what is quarantined.
 func (c *component) membersChanged(t *core.Turn, members []core.Member) {
-	present := map[hostBoot]bool{}
-	var hosts []core.HostID
-	c.replicas = nil
+	c.replicas, c.peers = nil, nil
 	for i := range members {
 		if members[i].Disk != "" && members[i].Host != c.self {
 			c.replicas = append(c.replicas, members[i].Host)
 		}
-		if members[i].Entry {
-			present[hostBoot{members[i].Host, members[i].Boot}] = true
-			hosts = append(hosts, members[i].Host)
-		}
-	}
-	slices.Sort(hosts)
-	c.peers = slices.DeleteFunc(slices.Clone(hosts), func(h core.HostID) bool { return h == c.self })
-	for _, h := range slices.SortedFunc(maps.Keys(present), compareHostBoots) {
-		if !c.present[h] && h.host != c.self && (c.isReplica || c.welcomes(hosts, h.host)) {
-			c.sendQuarantine(t, h.host)
+		if members[i].Entry && members[i].Host != c.self {
+			c.peers = append(c.peers, members[i].Host)
 		}
 	}
-	c.present = present
-}
-
-func compareHostBoots(a, b hostBoot) int {
-	switch {
-	case a.host < b.host:
-		return -1
-	case a.host > b.host:
-		return 1
+	slices.Sort(c.peers)
+	for _, h := range c.newcomers.Update(members, c.self, c.isReplica) {
+		c.sendQuarantine(t, h)
 	}
-	return 0
-}
-
-// welcomes reports whether this host is one of the few that follow a host in the order of names.
-func (c *component) welcomes(hosts []core.HostID, h core.HostID) bool {
-	self, other := slices.Index(hosts, c.self), slices.Index(hosts, h)
-	return self >= 0 && (self-other+len(hosts))%len(hosts) <= welcomers
 }
 
 func (c *component) sendQuarantine(t *core.Turn, to core.HostID) {
--- a/core/request.go
+++ b/core/request.go
@@ -72,7 +72,10 @@
 }
 
 // FirstToken is the event that an attempt produced the first token of the response.
-type FirstToken struct {
+type FirstToken struct{ Attempt AttemptID }
+
+// StreamStarted is the event that the header of a stream arrived in an attempt; it may be dropped.
+type StreamStarted struct {
 	Attempt   AttemptID
 	Statement *UpstreamStatement
 }
--- a/core/statement.go
+++ b/core/statement.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"time"
 )
 
 // RequestRate is a number of requests per second.
@@ -37,25 +38,19 @@
 
 // UpstreamStatement is what an upstream says of itself in a response.
 type UpstreamStatement struct {
-	Upstream UpstreamID `cbor:"upstream"`
+	Upstream UpstreamID
+	// ReadAt is when the response's header arrived; it may be long before the event that has the statement.
+	ReadAt time.Time
 	// RateLimit is the rate of requests that the upstream takes from all hosts together; zero means no limit.
-	RateLimit RequestRate `cbor:"rateLimit,omitempty"`
+	RateLimit RequestRate
 	// Malformed is true if the upstream stated something that can't be read; RateLimit is not valid then.
-	Malformed bool `cbor:"malformed,omitempty"`
+	Malformed bool
 }
 
-// Validate returns a KindBadRequest error if a field of the statement is out of range.
-func (s *UpstreamStatement) Validate() error {
-	if err := ValidateName("upstream", string(s.Upstream)); err != nil {
-		return err
-	}
-	return s.RateLimit.Validate()
-}
-
-// NewUpstreamStatement returns the statement of an upstream from the values of its rate limit header; without a value the
-// upstream has no limit.
-func NewUpstreamStatement(id UpstreamID, rateLimits ...string) *UpstreamStatement {
-	s := &UpstreamStatement{Upstream: id, Malformed: len(rateLimits) > 1}
+// NewUpstreamStatement returns the statement of an upstream in a response that arrived at readAt, from the values of its rate
+// limit header; without a value the upstream has no limit.
+func NewUpstreamStatement(id UpstreamID, readAt time.Time, rateLimits ...string) *UpstreamStatement {
+	s := &UpstreamStatement{Upstream: id, ReadAt: readAt, Malformed: len(rateLimits) > 1}
 	if len(rateLimits) == 1 {
 		rate, err := ParseRequestRate(rateLimits[0])
 		s.RateLimit, s.Malformed = rate, err != nil
--- a/core/validate.go
+++ b/core/validate.go
@@ -52,6 +52,8 @@
 		return m.validate()
 	case QuarantineList:
 		return m.validate()
+	case UpstreamLimits:
+		return m.validate()
 	}
 	return nil
 }
@@ -158,7 +160,7 @@
 
 func (o *Observation) validate() error {
 	set := 0
-	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil} {
+	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil} {
 		if isSet {
 			set++
 		}
@@ -172,6 +174,8 @@
 		return o.PromptCrash.validate()
 	case o.PromptQuarantine != nil:
 		return o.PromptQuarantine.validate()
+	case o.UpstreamLimit != nil:
+		return o.UpstreamLimit.validate()
 	}
 	return nil
 }
@@ -200,6 +204,31 @@
 	return nil
 }
 
+func (l *UpstreamLimit) validate() error {
+	if err := ValidateName("limit.pool", string(l.Pool)); err != nil {
+		return err
+	}
+	if err := ValidateName("limit.upstream", string(l.Upstream)); err != nil {
+		return err
+	}
+	if l.Age < 0 || l.Age > maxDuration || l.SinceSent < 0 || l.SinceSent > maxDuration {
+		return Fail(KindBadRequest, "limit: a time is out of range")
+	}
+	return l.RateLimit.Validate()
+}
+
+func (m *UpstreamLimits) validate() error {
+	if len(m.Limits) > MaxUpstreamLimits {
+		return Fail(KindBadRequest, "limits: has %d limits", len(m.Limits))
+	}
+	for i := range m.Limits {
+		if err := m.Limits[i].validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m *QuarantineList) validate() error {
 	for i := range m.Quarantines {
 		if err := m.Quarantines[i].validate(); err != nil {
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -66,6 +66,7 @@
 	newWireType[core.Gossip](43),
 	newWireType[core.QuarantineList](44),
 	newWireType[core.SoundParts](45),
+	newWireType[core.UpstreamLimits](46),
 }
 
 var (
