--- a/io/http1/events.go
+++ b/io/http1/events.go
@@ -51,12 +51,32 @@
 	}
 }
 
+// IsEvent reports whether all lines of an event are fields of one: id, data, event and retry, comments, and fields of an
+// extension, whose names begin with "x-". An error message or another response inside a stream is none.
+func IsEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, hasColon := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0, hasColon && len(name) == 0:
+		case !eventFields[string(name)] && !(hasColon && bytes.HasPrefix(name, extensionPrefix)):
+			return false
+		}
+	}
+	return true
+}
+
 // HasData reports whether an event has a data line. Comments and empty events have none.
 func HasData(event []byte) bool {
 	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, dataLine)
 }
 
+// eventFields are the names of an event's fields.
+var eventFields = map[string]bool{"id": true, "data": true, "event": true, "retry": true}
+
 var (
+	extensionPrefix = []byte("x-")
+
 	dataField = []byte("data:")
 	dataLine  = []byte("\ndata:")
 )
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -86,6 +86,17 @@
 	}
 }
 
+func TestIsEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 7\ndata: x\n\n": true, "data: HTTP/1.1 200 OK\n\n": true, ": comment\n\n": true, "\n": true, "data\n\n": true,
+		"x-versions: 3\nid: 1\r\ndata: a\r\n\r\n": true, "event: end\nretry: 5\n\n": true,
+		"HTTP/1.1 500 Internal Server Error\r\nDate: now\r\n\r\n": false, "error: no\n\n": false, "no\n\n": false,
+		"{\"error\":\"no\"}\n\n": false, "id: 1\ndata: a\nHTTP/1.1 200 OK\n\n": false, "X-Versions: 3\n\n": false,
+	} {
+		require.Equal(t, want, http1.IsEvent([]byte(text)), "%q", text)
+	}
+}
+
 func TestEventID(t *testing.T) {
 	for text, want := range map[string]int64{"id: 7\ndata: x\n\n": 7, "data: x\nid:12\n\n": 12, "data: id: 5\n\n": -1, "id: x\n\n": -1} {
 		id, ok := http1.EventID([]byte(text))
