io/upstream, io/engine: a refusal counts only for the attempt that it names

Seen by callers: on our own interface, 'not executed' for a request that an engine was running. Change: error responses of prefills and decodes name the attempt; others are failures with unknown outcome.

--- a/io/engine/server.go
+++ b/io/engine/server.go
@@ -112,8 +112,13 @@
 }
 
 func writeError(ctx *fasthttp.RequestCtx, status int, kind, message string, notExecuted bool) {
+	writeAttemptError(ctx, "", status, kind, message, notExecuted)
+}
+
+// writeAttemptError responds to the prefill or decode of an attempt.
+func writeAttemptError(ctx *fasthttp.RequestCtx, attempt string, status int, kind, message string, notExecuted bool) {
 	ctx.SetStatusCode(status)
-	writeJSON(ctx, upstream.ErrorResponse{Kind: kind, Message: message, NotExecuted: notExecuted})
+	writeJSON(ctx, upstream.ErrorResponse{Kind: kind, Message: message, NotExecuted: notExecuted, Attempt: attempt})
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
@@ -144,7 +149,7 @@
 	}
 	p, err := parsePrompt(request.Body, request.Generated)
 	if err != nil {
-		writeError(ctx, fasthttp.StatusBadRequest, "badRequest", err.Error(), true)
+		writeAttemptError(ctx, request.Attempt, fasthttp.StatusBadRequest, "badRequest", err.Error(), true)
 		return
 	}
 	e.mu.Lock()
@@ -152,10 +157,10 @@
 	e.mu.Unlock()
 	switch {
 	case faults.RejectRequests:
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "full", "the engine is at capacity", true)
+		writeAttemptError(ctx, request.Attempt, fasthttp.StatusServiceUnavailable, "full", "the engine is at capacity", true)
 		return
 	case faults.FailPrefills:
-		writeError(ctx, fasthttp.StatusInternalServerError, "failed", "the prefill failed", false)
+		writeAttemptError(ctx, request.Attempt, fasthttp.StatusInternalServerError, "failed", "the prefill failed", false)
 		return
 	}
 	cached, ready := e.schedulePrefill(p, time.Now())
@@ -208,7 +213,7 @@
 	}
 	s, reason := h.openStream(&request)
 	if s == nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "refused", reason, true)
+		writeAttemptError(ctx, request.Attempt, fasthttp.StatusServiceUnavailable, "refused", reason, true)
 		return
 	}
 	ctx.SetContentType("application/x-ndjson")
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -41,13 +41,16 @@
 	return nil
 }
 
-// errorFailure converts an upstream's error response; the upstream's statement that the request was not executed is
-// trusted.
-func errorFailure(status int, body []byte) *core.Failure {
+// errorFailure converts an upstream's error response. The upstream's statement that the request was not executed is trusted if
+// it names the attempt: a response on a kept connection may belong to an earlier one.
+func errorFailure(status int, body []byte, attempt string) *core.Failure {
 	var r ErrorResponse
 	if err := json.Unmarshal(body, &r); err != nil {
 		return core.Fail(core.KindUpstreamFailed, "the upstream responded with status %d", status)
 	}
+	if r.Attempt != attempt {
+		return core.Fail(core.KindUpstreamFailed, "the upstream's error response belongs to attempt %q", r.Attempt)
+	}
 	kind := core.KindUpstreamFailed
 	switch {
 	case status == fasthttp.StatusBadRequest:
@@ -89,7 +92,7 @@
 		return result, f
 	}
 	if resp.status != fasthttp.StatusOK {
-		return result, errorFailure(resp.status, resp.body)
+		return result, errorFailure(resp.status, resp.body, request.Attempt)
 	}
 	if err := json.Unmarshal(resp.body, &result); err != nil || result.Attempt != request.Attempt || result.PromptTokens < 0 {
 		return result, core.Fail(core.KindUpstreamFailed, "the prefill response is invalid or not for attempt %s", request.Attempt)
@@ -107,7 +110,7 @@
 func (c *Client) Assign(addr netip.AddrPort, req core.AssignRequest, timeout time.Duration) *core.Failure {
 	resp, f := c.send(addr, PathAssign, &AssignRequest{Epoch: req.Epoch, Assignment: req.Assignment}, timeout)
 	if f == nil && resp.status != fasthttp.StatusOK {
-		f = errorFailure(resp.status, resp.body)
+		f = errorFailure(resp.status, resp.body, "")
 	}
 	return f
 }
@@ -142,7 +145,7 @@
 		defer memory.Release()
 		body, f := c.readBody(r, maxReplyBytes, memory)
 		if f == nil {
-			f = errorFailure(r.header.StatusCode(), body)
+			f = errorFailure(r.header.StatusCode(), body, request.Attempt)
 		}
 		return DecodeResult{Failure: f}
 	}
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -88,6 +88,8 @@
 	Message string `json:"message"`
 	// NotExecuted is true if the upstream executed no part of the request.
 	NotExecuted bool `json:"notRun"`
+	// Attempt is the attempt of a prefill or decode that the response belongs to; without it NotExecuted is not trusted.
+	Attempt string `json:"attempt,omitempty"`
 }
 
 // ParseAttempt parses the text form of an attempt ID; it returns false if the text is invalid.
