core, platform: numbers too large in an announcement are refused

Seen by callers: requests to an upstream that was taken away, until its record expired. Cause: an announcement or deregistration by another writer with an incarnation above any time in milliseconds was accepted. No later heartbeat of the real upstream could follow, and the host sent its work to the odd entry's address. The order of deregistrations was computed by a subtraction that overflows with such numbers. Change: incarnations and sequence numbers are limited to 2^53 wherever announcements are decoded.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -227,13 +228,7 @@
 }
 
 func compareDeregistered(a, b core.UpstreamDeregistered) int {
-	if a.ID != b.ID {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	}
-	return int(a.Incarnation) - int(b.Incarnation)
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 func (c *component) gauges(set func(string, int64)) {
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -52,6 +52,9 @@
 const (
 	maxSlots       = 1 << 16
 	maxMemoryPages = 1 << 24
+	// maxSequence limits incarnations, which are times in milliseconds, and sequence numbers: above it, no later announcement
+	// could follow. Every JSON parser represents it exactly.
+	maxSequence = 1 << 53
 )
 
 // Validate returns a KindBadRequest error if a field of the announcement is out of range.
@@ -71,6 +74,9 @@
 	if a.Slots < 1 || a.Slots > maxSlots || a.MemoryPages < 0 || a.MemoryPages > maxMemoryPages {
 		return Fail(KindBadRequest, "slots or pieces are out of range")
 	}
+	if a.Incarnation > maxSequence || a.Seq > maxSequence {
+		return Fail(KindBadRequest, "incarnation or seq is out of range")
+	}
 	if a.Role != RoleService && a.MemoryPages == 0 && !a.MemoryFromConfig {
 		return Fail(KindBadRequest, "pieces: must be positive for an engine")
 	}
@@ -115,6 +121,14 @@
 	Incarnation uint64     `cbor:"incarnation"`
 }
 
+// Validate returns a KindBadRequest error if a field of the deregistration is out of range.
+func (d *UpstreamDeregistered) Validate() error {
+	if d.Incarnation > maxSequence {
+		return Fail(KindBadRequest, "incarnation is out of range")
+	}
+	return ValidateName("id", string(d.ID))
+}
+
 // UpstreamLeaving is the event that an upstream is leaving, or, if Leaving is false, that it accepts work again.
 type UpstreamLeaving struct {
 	ID      UpstreamID
--- a/core/validate.go
+++ b/core/validate.go
@@ -247,6 +247,11 @@
 			return Fail(KindBadRequest, "upstream list: age is out of range")
 		}
 	}
+	for i := range m.Deregistered {
+		if err := m.Deregistered[i].Validate(); err != nil {
+			return err
+		}
+	}
 	for _, missing := range m.Missing {
 		if missing.Age < 0 || missing.Age > maxDuration {
 			return Fail(KindBadRequest, "upstream list: age is out of range")
