core/entry: a refused prefill spends a retry

Seen by callers: while many engines turned work away, hosts together sent them more than the retry budget allows (BUDGET). Cause: a refused prefill was followed by a decode that prefills the prompt itself, and only a prefill that the engine accepts is no arrival of its own; nothing was spent on it. Change: such a decode spends a retry; without one left the request is refused, not executed.

--- /dev/null
+++ b/core/entry/budget_test.go
@@ -0,0 +1,49 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"oleanderlever/core"
+)
+
+// prefillEngine returns the announcement of a prefill engine.
+func prefillEngine(id core.UpstreamID, addr string) core.SeenUpstream {
+	return core.SeenUpstream{Announcement: core.Announcement{
+		ID: id, Pool: "engine", Role: core.RolePrefill, Slots: 8, MemoryFromConfig: true, Incarnation: 1, Seq: 1, Addr: netip.MustParseAddrPort(addr),
+	}}
+}
+
+// While many engines turned work away, each refused prefill was followed by a decode that no retry had been spent on, so that
+// all hosts together sent engines more than the retry budget allows.
+func TestRetryBudgetCountsRefusedPrefills(t *testing.T) {
+	const requests, burst = 50, 12
+	for _, path := range []string{"/stream-resumable/1", "/stream/1"} {
+		h := newTestHost(t, core.RetryBudget{Ratio: 0.1, Burst: burst, Shared: true})
+		h.step(core.MessageReceived{From: "replica", Message: core.UpstreamList{Seen: []core.SeenUpstream{prefillEngine("p1", "10.0.1.9:80")}}})
+		for n := range requests {
+			id := core.RequestID(fmt.Sprint("r", n))
+			h.submit(id, path)
+			for seen := 0; seen < len(h.actions); seen++ {
+				switch a := h.actions[seen].(type) {
+				case core.RunPrefill:
+					if a.Attempt.Request == id {
+						h.step(core.PrefillEnded{Attempt: a.Attempt, Failure: notExecuted})
+					}
+				case core.RunDecode:
+					if a.Attempt.Request == id {
+						h.step(core.DecodeEnded{Attempt: a.Attempt, Failure: notExecuted})
+					}
+				}
+			}
+			require.NotNil(t, h.refusal(id))
+			require.True(t, h.refusal(id).NotExecuted)
+		}
+		sent := len(actionsOf[core.RunPrefill](h)) + len(actionsOf[core.RunDecode](h))
+		require.LessOrEqual(t, sent-requests, burst, path)
+		require.Greater(t, len(actionsOf[core.RunDecode](h)), 0, "some requests are retried")
+	}
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -314,6 +314,10 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
 		return
 	}
+	if e.Failure != nil && r.route.Streaming && wasRefused(e.Failure) && !c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
+		c.attemptFailed(t, r, e.Failure, r.grant.Prefill)
+		return
+	}
 	if e.Failure != nil && r.route.Streaming {
 		// The decode engine can process the prompt itself, which saves another attempt.
 		release := releaseAfterFailure(e.Failure, r.grant.Prefill)
@@ -398,6 +402,12 @@
 	c.attemptFailed(t, r, e.Failure, r.grant.Decode)
 }
 
+// wasRefused reports whether an upstream got a request and refused it, so that the next one is a retry although none has been
+// executed.
+func wasRefused(f *core.Failure) bool {
+	return f.Kind == core.KindUpstreamRefused || f.Kind == core.KindMisdirected
+}
+
 // stated passes on what an upstream said of itself in the response to an attempt.
 func (c *component) stated(t *core.Turn, a core.AttemptID, s *core.UpstreamStatement) {
 	if r := c.requests[a.Request]; r != nil && s != nil {
