core/dispatch, core/entry, platform: upstreams that leave, refuse, or say when to come back

Change: a response with the leaving header ends all new work from this host at once and, by gossip, from the others; the Retry-After of a 503 keeps this host away for that time, the dispatcher with it, also from placements under way, and callers are refused with the time that is left if all upstreams of a pool have said so. An upstream that refuses gets a back-off of 0.1 to 4 s and then one trial, but never all of a pool; one that refuses most requests gets no second try and no prompt that another engine has prefilled. Values that can't be read change nothing. An upstream that returns under its old name after it was forgotten is usable again at hosts that had seen it leave. Tests: TestUpstreamThatSaysItIsLeavingGetsNothing, TestUpstreamIsLeftAloneForItsRetryAfter, TestMalformedStatementsTakeNoUpstreamAway, TestUnusedGrantIsReleasedUntilAcknowledged. TestRetryBudgetCountsRepeatedPrefills counted on a prefill for each request, which engines that refuse everything do not get any more; it now counts each request's own arrivals, with the same bound.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -184,7 +184,7 @@
 		previous := pl.upstreams[a.ID]
 		wasLeaving := previous != nil && previous.Leaving
 		pl.applyAnnouncement(*a, seenAt)
-		if leaving := pl.upstreams[a.ID].Leaving; leaving != wasLeaving {
+		if leaving := pl.upstreams[a.ID].Leaving; leaving != wasLeaving || previous == nil {
 			t.Post(core.UpstreamLeaving{ID: a.ID, Leaving: leaving})
 		}
 		if c.localPlacement {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -42,6 +42,13 @@
 	if pl.reservations[m.Attempt] != nil {
 		return
 	}
+	if wait, ok := pl.statedWait(t.Now); ok && pl.onTime.find(m.Attempt) == item {
+		pl.onTime.remove(m.Attempt)
+		f := core.Fail(core.KindOverloaded, "all upstreams of pool %s want no request for a time", m.Pool)
+		f.RetryAfter = wait
+		t.Send(from, core.PlacementRefused{Attempt: m.Attempt, Failure: *f})
+		return
+	}
 	if wait, rate := pl.limitWait(m.Account, t.Now); rate > 0 && wait > m.Remaining && pl.onTime.find(m.Attempt) == item {
 		pl.onTime.remove(m.Attempt)
 		t.Send(from, core.PlacementRefused{Attempt: m.Attempt, Failure: *pl.overloaded(m.Account, t.Now)})
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -137,6 +137,7 @@
 // refresh updates the load of an upstream and adds it to the candidates or removes it from them.
 func (p *pool) refresh(u *upstream, now time.Time, policy core.UpstreamPolicy) {
 	p.updateLoad(u)
+	u.refusals.endTrial(now)
 	usable := u.isUsable(p.heartbeatReference(now), now, p.heartbeatTimeout, policy) && !p.assignmentPending(u)
 	if usable && (u.Role.CanDecode() || u.Role == core.RoleService) {
 		p.decodeCandidates.Fix(u)
@@ -209,6 +210,9 @@
 // there is one.
 func (p *pool) place(item *queueItem, now time.Time, epoch core.Epoch) (*reservation, selection, placeResult) {
 	memory := p.memoryNeeded(&item.request)
+	if p.decodeCandidates.Len() == 0 {
+		p.wakeOne(now)
+	}
 	bare := !item.request.PlainService && p.engine != nil && !p.canPrefill(&item.request, now)
 	decode, result := p.chooseDecode(item, memory, bare, now)
 	if result != placeOK {
@@ -219,13 +223,14 @@
 		grant: core.PlacementGrant{Attempt: item.request.Attempt, Pool: p.id, Epoch: epoch},
 	}
 	r.grant.Decode, r.grant.DecodeAddr = decode.best.ID, decode.best.Addr
-	r.grant.DecodeLimited = decode.best.limit.rate > 0
+	r.grant.SingleRequest = decode.best.limit.rate > 0 || decode.best.refusals.isShedding()
 	prefill := selection{}
 	if !item.request.PlainService {
 		prefill = p.choosePrefill(item, decode.best, now)
 	}
 	// Where both engines limit their requests, the decode engine has time to prefill, and one request does for two.
-	bare = p.engine != nil && prefill.best == nil
+	// What an engine that refuses most requests is sent should not be prefilled in vain.
+	bare = p.engine != nil && (prefill.best == nil || decode.best.refusals.isShedding())
 	if item.request.PlainService || bare {
 		// Without a prefill engine, decode engines with configured memory can prefill prompts too, but slower.
 		p.reserve(r, now)
@@ -286,6 +291,12 @@
 
 // reserve adds a reservation to the pool and charges it to its upstreams.
 func (p *pool) reserve(r *reservation, now time.Time) {
+	for _, id := range []core.UpstreamID{r.grant.Prefill, r.grant.Decode} {
+		if u := p.upstreams[id]; u != nil && u.refusals.beginTrial(now) {
+			p.decodeCandidates.Remove(u)
+			p.prefillCandidates.Remove(u)
+		}
+	}
 	r.reservedAt = now
 	p.reservations[r.request.Attempt] = r
 	p.recordMemory(r.memory)
--- a/core/dispatch/ratelimit.go
+++ b/core/dispatch/ratelimit.go
@@ -23,8 +23,6 @@
 	// limit that is worth one. Lists tell of the others.
 	publishInterval = 500 * time.Millisecond
 	publishRatio    = 0.1
-	// malformedLogInterval is the shortest time between two log lines on malformed statements of one upstream.
-	malformedLogInterval = 10 * time.Second
 )
 
 // rateLimit is what an upstream has said of the requests that it takes, and what may still be used of it.
@@ -42,39 +40,24 @@
 	local  allowance
 	// lastSent is when this host was last granted a request to the upstream.
 	lastSent time.Time
-	// malformedLoggedAt is when a malformed statement was last logged.
-	malformedLoggedAt time.Time
 }
 
-// upstreamStated applies what an upstream said in a response to this host, and tells other hosts if it is new.
-func (c *component) upstreamStated(t *core.Turn, e core.UpstreamStated) {
-	u := c.findUpstream(e.Pool, e.Statement.Upstream)
-	switch {
-	case e.Statement.Malformed:
-		c.logMalformed(t, e, u)
-	case u == nil:
+// limitStated applies the limit that an upstream named in a response to this host, and tells other hosts if it is new.
+func (c *component) limitStated(t *core.Turn, e core.UpstreamStated, u *upstream) {
+	if u == nil {
 		c.forwardLimit(t, e)
-	case e.Statement.ReadAt.After(u.limit.statedAt):
-		before := u.limit.rate
-		c.setLimit(t, u, e.Statement.RateLimit, e.Statement.ReadAt, c.self)
-		if c.isWorthPublishing(t, u, before) {
-			u.limit.publishedAt = t.Now
-			l := u.describeLimit(t.Now)
-			t.Post(core.ShareObservation{Observation: core.Observation{UpstreamLimit: &l}})
-		}
+		return
 	}
-}
-
-// logMalformed logs a statement that can't be read; what the upstream said before stays in force.
-func (c *component) logMalformed(t *core.Turn, e core.UpstreamStated, u *upstream) {
-	if u == nil || (!u.limit.malformedLoggedAt.IsZero() && t.Now.Sub(u.limit.malformedLoggedAt) < malformedLogInterval) {
+	if !e.Statement.ReadAt.After(u.limit.statedAt) {
 		return
 	}
-	u.limit.malformedLoggedAt = t.Now
-	t.LogDecision(core.Decision{
-		Component: "dispatch", Choice: "limit", Reason: "the upstream's limit can't be read; the last one stays in force",
-		Pool: e.Pool, Target: string(u.ID), Score: float64(u.limit.rate), Age: t.Now.Sub(u.limit.statedAt),
-	})
+	before := u.limit.rate
+	c.setLimit(t, u, e.Statement.RateLimit, e.Statement.ReadAt, c.self)
+	if c.isWorthPublishing(t, u, before) {
+		u.limit.publishedAt = t.Now
+		l := u.describeLimit(t.Now)
+		t.Post(core.ShareObservation{Observation: core.Observation{UpstreamLimit: &l}})
+	}
 }
 
 // isWorthPublishing reports whether other hosts should hear of a limit that was different before.
--- a/core/dispatch/release.go
+++ b/core/dispatch/release.go
@@ -75,17 +75,20 @@
 			Pool: m.Pool, Target: string(m.FailedUpstream), Score: float64(u.consecutiveFailures),
 		})
 	}
+	c.recordRefusal(t, pl, &m)
 	if m.PrefillOnly {
 		pl.recordPrefillTime(r, t.Now)
 		pl.releasePrefill(r, t.Now)
-		c.recordSuccess(pl, r.grant.Prefill)
+		if m.FailedUpstream == "" && m.RefusedBy == "" {
+			c.recordSuccess(pl, r.grant.Prefill)
+		}
 		c.placeQueued(t, pl)
 		return
 	}
 	if m.FirstTokenLatency > 0 {
 		pl.latency.addFirstToken(m.FirstTokenLatency)
 	}
-	if m.FailedUpstream == "" && !m.Cancel {
+	if m.FailedUpstream == "" && m.RefusedBy == "" && !m.Cancel {
 		c.recordSuccess(pl, r.grant.Decode)
 	}
 	c.releaseAndCancel(t, pl, r, m.Cancel)
--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -81,12 +81,15 @@
 	}
 }
 
-// observationReceived records a failure or a limit that another host has seen, and has it passed on if it may change what
+// observationReceived records what another host has seen or heard of an upstream, and has it passed on if it may change what
 // others do.
 func (c *component) observationReceived(t *core.Turn, item core.GossipItem) {
 	if l := item.Observation.UpstreamLimit; l != nil && c.mergeLimit(t, l, item.ID.Host) {
 		t.Post(core.PassOn{Item: item})
 	}
+	if left := item.Observation.UpstreamLeaving; left != nil && c.leavingHeard(t, left) {
+		t.Post(core.PassOn{Item: item})
+	}
 	f := item.Observation.UpstreamFailure
 	if f == nil {
 		return
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -65,6 +65,9 @@
 	breakerOpenUntil    time.Time
 	backoff             time.Duration
 	limit               rateLimit
+	refusals            refusals
+	// malformedLoggedAt is when a malformed statement of the upstream was last logged.
+	malformedLoggedAt time.Time
 	// decodeIndex and prefillIndex are the positions in the pool's candidate heaps, or -1.
 	decodeIndex  int
 	prefillIndex int
@@ -73,7 +76,7 @@
 // isUsable reports whether an upstream may get new work; the time without heartbeats is measured up to reference.
 func (u *upstream) isUsable(reference, now time.Time, heartbeatTimeout time.Duration, policy core.UpstreamPolicy) bool {
 	return !u.Leaving && !u.misdirected && reference.Sub(u.lastSeen) < heartbeatTimeout &&
-		!now.Before(u.breakerOpenUntil) && !slices.Contains(policy.Drained, u.ID)
+		!now.Before(u.breakerOpenUntil) && u.refusals.allow(now) && !slices.Contains(policy.Drained, u.ID)
 }
 
 // recordFailure counts a failure and opens the circuit breaker after breakerThreshold consecutive ones.
@@ -90,6 +93,7 @@
 func (u *upstream) recordSuccess() {
 	u.consecutiveFailures = 0
 	u.backoff = 0
+	u.refusals.recordSuccess()
 }
 
 // cachedTokens returns how many leading tokens of a prompt the engine's cache is estimated to hold.
--- a/core/dispatch/upstreamlist.go
+++ b/core/dispatch/upstreamlist.go
@@ -143,12 +143,7 @@
 		if u == nil || u.Leaving || (deregistered.Incarnation != 0 && deregistered.Incarnation < u.Incarnation) {
 			continue
 		}
-		u.Leaving = true
-		t.Post(core.UpstreamLeaving{ID: deregistered.ID, Leaving: true})
-		pl.refresh(u, t.Now, c.config.Policy(id))
-		t.LogDecision(core.Decision{
-			Component: "dispatch", Choice: "left", Reason: "the upstream deregistered", Pool: id, Target: string(deregistered.ID),
-		})
+		c.markLeaving(t, u, "the upstream deregistered")
 	}
 }
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -36,12 +36,15 @@
 	requests       map[core.RequestID]*request
 	timers         ordered.Heap[*request]
 	releases       map[releaseKey]*pendingRelease
+	rejections     map[rejectionKey]*pendingRelease
 	retryBuckets   map[core.PoolID]*retryBucket
 	draining       bool
 	drained        bool
 	lameDuck       bool
 	// leaving are the upstreams that are leaving or have deregistered; an isolated dispatcher may still choose them.
 	leaving map[core.UpstreamID]bool
+	// leftAlone has the upstreams that told this host to send no request for a time, with its end.
+	leftAlone map[core.UpstreamID]time.Time
 	// streamsUntil is when a lame duck host stops accepting streams.
 	streamsUntil time.Time
 	// hasUpstreams is true while at least one upstream is available.
@@ -71,8 +74,8 @@
 		boot: env.Boot, unsafeRetries: unsafeRetries, maxRequests: env.Limits.Requests, config: empty, rand: env.Rand,
 		dataCentre: env.DataCentre, dispatchers: dispatch.NewDispatcherSelector(env), retryPolicy: env.RetryBudget,
 		dispatcherBackoffUntil: map[core.HostID]time.Time{},
-		requests:               map[core.RequestID]*request{}, releases: map[releaseKey]*pendingRelease{}, retryBuckets: map[core.PoolID]*retryBucket{}, leaving: map[core.UpstreamID]bool{}, emptyLists: map[core.PoolID]int{},
-		limitedPools: map[core.PoolID]bool{},
+		requests:               map[core.RequestID]*request{}, releases: map[releaseKey]*pendingRelease{}, rejections: map[rejectionKey]*pendingRelease{}, retryBuckets: map[core.PoolID]*retryBucket{}, leaving: map[core.UpstreamID]bool{}, emptyLists: map[core.PoolID]int{},
+		limitedPools: map[core.PoolID]bool{}, leftAlone: map[core.UpstreamID]time.Time{},
 	}
 	c.timers = ordered.Heap[*request]{Index: func(r *request) *int { return &r.heapIndex }, Less: dueEarlier}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
@@ -160,6 +163,7 @@
 		c.claimUnknownAttempts(t, from, m.Attempts)
 	case core.PlacementReleaseAck:
 		delete(c.releases, releaseKey{attempt: m.Attempt, prefillOnly: m.PrefillOnly})
+		delete(c.rejections, rejectionKey{attempt: m.Attempt, dispatcher: from})
 	}
 }
 
@@ -261,18 +265,22 @@
 func (c *component) placementGranted(t *core.Turn, from core.HostID, m core.PlacementGrant) {
 	r := c.requests[m.Attempt.Request]
 	if r == nil || r.attemptID() != m.Attempt || (r.stage == stagePlacement && r.disconnected) {
-		t.Send(from, core.PlacementRelease{Attempt: m.Attempt, Pool: m.Pool})
+		c.rejectGrant(t, from, m)
 		return
 	}
 	if r.stage != stagePlacement {
 		if from != r.dispatcher.host {
-			t.Send(from, core.PlacementRelease{Attempt: m.Attempt, Pool: m.Pool})
+			c.rejectGrant(t, from, m)
 		}
 		return
 	}
 	// The local dispatcher reported these upstreams as leaving and no longer selects them.
 	if from != c.dispatchers.LocalDispatcher().Host && (c.leaving[m.Decode] || c.leaving[m.Prefill]) {
-		c.rejectGrant(t, r, from, m)
+		c.rejectLeaving(t, r, from, m)
+		return
+	}
+	if f := c.leftAloneFailure(t.Now, m.Prefill, m.Decode); f != nil {
+		c.rejectUnwanted(t, r, from, m, f)
 		return
 	}
 	r.grant = m
@@ -320,7 +328,7 @@
 	}
 	if e.Failure != nil && r.route.Streaming {
 		// The decode engine can process the prompt itself, which saves another attempt.
-		release := releaseAfterFailure(e.Failure, r.grant.Prefill)
+		release := r.releaseAfterFailure(e.Failure, r.grant.Prefill)
 		release.PrefillOnly, release.Cancel = true, false
 		c.sendRelease(t, r, release)
 		c.decodeWithoutKV(t, r, e.Failure.Error(), r.grant.Prefill)
@@ -353,6 +361,10 @@
 		c.refuseQuarantined(t, r, f)
 		return
 	}
+	if f := c.leftAloneFailure(t.Now, r.grant.Decode); f != nil {
+		c.attemptFailed(t, r, f, r.grant.Decode)
+		return
+	}
 	r.stage = stageDecode
 	r.decodeStartedAt = t.Now
 	c.schedule(r)
@@ -395,7 +407,7 @@
 		})
 		return
 	}
-	if e.Failure.NotExecuted && e.Failure.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV && !r.grant.DecodeLimited && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
+	if e.Failure.NotExecuted && e.Failure.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV && !r.grant.SingleRequest && e.Failure.RetryAfter == 0 && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		c.decodeWithoutKV(t, r, e.Failure.Error(), r.grant.Decode)
 		return
 	}
@@ -412,6 +424,7 @@
 func (c *component) stated(t *core.Turn, a core.AttemptID, s *core.UpstreamStatement) {
 	if r := c.requests[a.Request]; r != nil && s != nil {
 		t.Post(core.UpstreamStated{Pool: r.pool, Statement: *s})
+		c.recordRetryAfter(t, s)
 	}
 }
 
@@ -500,5 +513,5 @@
 
 func (c *component) gauges(set func(string, int64)) {
 	set("requests", int64(len(c.requests)))
-	set("donesOpen", int64(len(c.releases)))
+	set("donesOpen", int64(len(c.releases)+len(c.rejections)))
 }
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -21,7 +21,7 @@
 	if !pastDeadline && c.retry(t, r, f, failed) {
 		return
 	}
-	c.sendRelease(t, r, releaseAfterFailure(f, failed))
+	c.sendRelease(t, r, r.releaseAfterFailure(f, failed))
 	out := *f
 	if r.unary && !r.route.Idempotent && !f.NotExecuted && !pastDeadline {
 		out.Kind = core.KindOutcomeUnknown
@@ -44,8 +44,13 @@
 }
 
 // releaseAfterFailure returns the release for the placement of a failed attempt.
-func releaseAfterFailure(f *core.Failure, failed core.UpstreamID) core.PlacementRelease {
-	return core.PlacementRelease{Cancel: !f.NotExecuted, FailedUpstream: blamedUpstream(f, failed), Misdirected: f.Kind == core.KindMisdirected}
+func (r *request) releaseAfterFailure(f *core.Failure, failed core.UpstreamID) core.PlacementRelease {
+	release := core.PlacementRelease{Cancel: !f.NotExecuted, FailedUpstream: blamedUpstream(f, failed), Misdirected: f.Kind == core.KindMisdirected}
+	if f.Kind == core.KindUpstreamRefused {
+		release.RefusedBy, release.RetryAfter = failed, f.RetryAfter
+		release.WithKV = failed == r.grant.Decode && r.grant.Prefill != "" && !r.withoutKV
+	}
+	return release
 }
 
 // retry starts another attempt after a failed one and reports whether it did: the request must permit it and the retry
@@ -58,7 +63,7 @@
 	if !allowed || !c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		return false
 	}
-	c.sendRelease(t, r, releaseAfterFailure(f, failed))
+	c.sendRelease(t, r, r.releaseAfterFailure(f, failed))
 	r.avoid = append(r.avoid, failed)
 	t.LogDecision(core.Decision{Component: "entry", Choice: "retry", Reason: f.Message, Request: r.ID, Attempt: r.placement.Attempt.Number, Pool: r.pool, Target: string(failed)})
 	c.startAttempt(t, r)
--- a/core/entry/placement.go
+++ b/core/entry/placement.go
@@ -128,11 +128,11 @@
 	c.leaving[e.ID] = true
 }
 
-// rejectGrant releases a placement at an upstream that is leaving and asks a dispatcher other than the one that granted
+// rejectLeaving releases a placement at an upstream that is leaving and asks a dispatcher other than the one that granted
 // it, which is avoided for dispatcherBackoff.
-func (c *component) rejectGrant(t *core.Turn, r *request, from core.HostID, m core.PlacementGrant) {
+func (c *component) rejectLeaving(t *core.Turn, r *request, from core.HostID, m core.PlacementGrant) {
 	t.LogDecision(core.Decision{Component: "entry", Choice: "goRound", Reason: "the dispatcher chose an upstream that is leaving", Request: r.ID, Attempt: m.Attempt.Number, Pool: r.pool, Target: string(m.Prefill + ">" + m.Decode)})
-	t.Send(from, core.PlacementRelease{Attempt: m.Attempt, Pool: m.Pool})
+	c.rejectGrant(t, from, m)
 	c.dispatcherBackoffUntil[from] = t.Now.Add(dispatcherBackoff)
 	r.placedWhileIsolated = c.isIsolated(t.Now)
 	c.sendPlacementRequest(t, r)
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -30,6 +31,23 @@
 	expires    time.Time
 }
 
+// rejectionKey identifies the release of a placement that this host does not use.
+type rejectionKey struct {
+	attempt    core.AttemptID
+	dispatcher core.HostID
+}
+
+// rejectGrant releases a placement that this host does not use at the dispatcher that granted it; the attempt may have another
+// one. It is resent until that dispatcher acknowledges it: no list of active attempts may follow that lacks the attempt.
+func (c *component) rejectGrant(t *core.Turn, from core.HostID, m core.PlacementGrant) {
+	release := core.PlacementRelease{Attempt: m.Attempt, Pool: m.Pool}
+	c.rejections[rejectionKey{attempt: m.Attempt, dispatcher: from}] = &pendingRelease{
+		dispatcher: dispatcherID{host: from}, release: release,
+		resendAt: t.Now.Add(releaseResendInterval), expires: t.Now.Add(releaseResendTimeout),
+	}
+	t.Send(from, release)
+}
+
 // sendRelease releases an attempt's placement, or only its prefill part, at all dispatchers that know the attempt.
 // Resends go only to the current dispatcher.
 func (c *component) sendRelease(t *core.Turn, r *request, release core.PlacementRelease) {
@@ -219,18 +237,33 @@
 		c.timerFired(t, c.timers.Min())
 	}
 	for _, k := range sortedReleases(c.releases) {
-		pending := c.releases[k]
-		if core.Due(pending.expires, t.Now) {
+		if !c.releases[k].resend(t) {
 			delete(c.releases, k)
-			continue
 		}
-		if core.Due(pending.resendAt, t.Now) {
-			pending.resendAt = t.Now.Add(releaseResendInterval)
-			t.Send(pending.dispatcher.host, pending.release)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(c.rejections), compareRejections) {
+		if !c.rejections[k].resend(t) {
+			delete(c.rejections, k)
 		}
 	}
 }
 
+func compareRejections(a, b rejectionKey) int {
+	return cmp.Or(a.attempt.Compare(b.attempt), cmp.Compare(a.dispatcher, b.dispatcher))
+}
+
+// resend sends the release again if it is due; it returns false once it is given up.
+func (p *pendingRelease) resend(t *core.Turn) bool {
+	if core.Due(p.expires, t.Now) {
+		return false
+	}
+	if core.Due(p.resendAt, t.Now) {
+		p.resendAt = t.Now.Add(releaseResendInterval)
+		t.Send(p.dispatcher.host, p.release)
+	}
+	return true
+}
+
 func (c *component) nextDeadline() time.Time {
 	next := c.activeAttemptsAt
 	if c.timers.Len() > 0 {
@@ -239,5 +272,8 @@
 	for _, pending := range c.releases {
 		next = core.Earlier(next, core.Earlier(pending.resendAt, pending.expires))
 	}
+	for _, pending := range c.rejections {
+		next = core.Earlier(next, core.Earlier(pending.resendAt, pending.expires))
+	}
 	return next
 }
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -86,7 +86,9 @@
 	decodeStartedAt   time.Time
 	firstTokenLatency time.Duration
 	avoid             []core.UpstreamID
-	disconnected      bool
+	// rejectedGrants counts the placements that were rejected since an upstream wanted no request.
+	rejectedGrants int
+	disconnected   bool
 	// dueAt is when the request's timer fires; heapIndex is its index in the timer heap.
 	dueAt     time.Time
 	heapIndex int
--- a/core/harness/ratelimit.go
+++ b/core/harness/ratelimit.go
@@ -20,7 +20,7 @@
 	if l.StatedAt.IsZero() && l.Rate > 0 {
 		l.StatedAt = now
 	}
-	return &core.UpstreamStatement{Upstream: id, ReadAt: now, RateLimit: l.Rate}
+	return &core.UpstreamStatement{Upstream: id, ReadAt: now, RateLimit: l.Rate, HasRateLimit: true}
 }
 
 // MostArrivals returns the greatest number of requests in any window of the given length that begins after the given time.
--- a/core/message.go
+++ b/core/message.go
@@ -313,8 +313,9 @@
 	ExpectedPrefill time.Duration  `cbor:"expect,omitempty"`
 	Decode          UpstreamID     `cbor:"decode"`
 	DecodeAddr      netip.AddrPort `cbor:"decodeAddr"`
-	// DecodeLimited is true if the upstream has a rate limit, so that this is the only request that may be sent to it.
-	DecodeLimited bool `cbor:"decodeLimited,omitempty"`
+	// SingleRequest is true if no second request may be sent to Decode if it refuses the first one: it has a rate limit, or
+	// it refuses many.
+	SingleRequest bool `cbor:"singleRequest,omitempty"`
 }
 
 // PoolLimited is the event that the first upstream of a plain service's pool has named a rate limit, or that the last one has
@@ -371,6 +372,11 @@
 	FailedUpstream UpstreamID `cbor:"failed"`
 	// Misdirected is true if FailedUpstream has a different identity or role than announced.
 	Misdirected bool `cbor:"moved,omitempty"`
+	// RefusedBy is the upstream that refused the attempt, or empty; RetryAfter is how long it wants no further request, or zero
+	// if it did not say. WithKV is true if the KV cache of a prefill may have been the reason.
+	RefusedBy  UpstreamID    `cbor:"refusedBy,omitempty"`
+	RetryAfter time.Duration `cbor:"retryAfter,omitempty"`
+	WithKV     bool          `cbor:"withKV,omitempty"`
 	// FirstTokenLatency is the time from the end of the prefill to the first token, or zero if there was none.
 	FirstTokenLatency time.Duration `cbor:"first"`
 }
@@ -484,6 +490,8 @@
 	PromptSound      *PromptSound      `cbor:"promptSound,omitempty"`
 	PromptQuarantine *PromptQuarantine `cbor:"promptQuarantine,omitempty"`
 	UpstreamLimit    *UpstreamLimit    `cbor:"upstreamLimit,omitempty"`
+	// UpstreamLeaving is an upstream that said in a response that it is leaving.
+	UpstreamLeaving *UpstreamDeregistered `cbor:"upstreamLeaving,omitempty"`
 }
 
 // UpstreamFailure is the failure of a host's call at a plain service.
--- a/core/statement.go
+++ b/core/statement.go
@@ -36,6 +36,28 @@
 	return Fail(KindBadRequest, "rateLimit: is out of range")
 }
 
+// MaxUpstreamRetryAfter is the longest time for which an upstream is left alone because it said so.
+const MaxUpstreamRetryAfter = time.Minute
+
+// ParseUpstreamRetryAfter parses the decimal number of seconds that an upstream wants no request, at most
+// MaxUpstreamRetryAfter; it returns a KindBadRequest error for anything but a finite number that is not negative.
+func ParseUpstreamRetryAfter(text string) (time.Duration, error) {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+		return 0, Fail(KindBadRequest, "a retry delay must be a finite number of seconds that is not negative")
+	}
+	return time.Duration(min(seconds, MaxUpstreamRetryAfter.Seconds()) * float64(time.Second)), nil
+}
+
+// StatementValues has the values of the headers in which an upstream says something of itself; a header that is missing has
+// none.
+type StatementValues struct {
+	RateLimit []string
+	Leaving   []string
+	// RetryAfter is used in responses that refuse a request.
+	RetryAfter []string
+}
+
 // UpstreamStatement is what an upstream says of itself in a response.
 type UpstreamStatement struct {
 	Upstream UpstreamID
@@ -43,21 +65,47 @@
 	ReadAt time.Time
 	// RateLimit is the rate of requests that the upstream takes from all hosts together; zero means no limit.
 	RateLimit RequestRate
-	// Malformed is true if the upstream stated something that can't be read; RateLimit is not valid then.
-	Malformed bool
+	// Leaving is true if the upstream takes no new requests, since it will end.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no request from this host, or zero.
+	RetryAfter time.Duration
+	// Malformed is true if a value can't be read. HasRateLimit is false if that is the one of RateLimit.
+	Malformed    bool
+	HasRateLimit bool
 }
 
-// NewUpstreamStatement returns the statement of an upstream in a response that arrived at readAt, from the values of its rate
-// limit header; without a value the upstream has no limit.
-func NewUpstreamStatement(id UpstreamID, readAt time.Time, rateLimits ...string) *UpstreamStatement {
-	s := &UpstreamStatement{Upstream: id, ReadAt: readAt, Malformed: len(rateLimits) > 1}
-	if len(rateLimits) == 1 {
-		rate, err := ParseRequestRate(rateLimits[0])
-		s.RateLimit, s.Malformed = rate, err != nil
+// leavingValue is the value with which an upstream says that it is leaving.
+const leavingValue = "1"
+
+// NewUpstreamStatement returns the statement of an upstream in a response that arrived at readAt. A value that can't be read
+// counts as not sent.
+func NewUpstreamStatement(id UpstreamID, readAt time.Time, values StatementValues) *UpstreamStatement {
+	s := &UpstreamStatement{Upstream: id, ReadAt: readAt, HasRateLimit: true}
+	if text, ok := s.single(values.RateLimit); ok {
+		rate, err := ParseRequestRate(text)
+		s.RateLimit, s.HasRateLimit, s.Malformed = rate, err == nil, s.Malformed || err != nil
+	} else if len(values.RateLimit) > 0 {
+		s.HasRateLimit = false
+	}
+	if text, ok := s.single(values.Leaving); ok {
+		s.Leaving, s.Malformed = text == leavingValue, s.Malformed || text != leavingValue
+	}
+	if text, ok := s.single(values.RetryAfter); ok {
+		wait, err := ParseUpstreamRetryAfter(text)
+		s.RetryAfter, s.Malformed = wait, s.Malformed || err != nil
 	}
 	return s
 }
 
+// single returns the only value of a header, or false if there is none; several make the statement malformed.
+func (s *UpstreamStatement) single(values []string) (string, bool) {
+	if len(values) != 1 {
+		s.Malformed = s.Malformed || len(values) > 1
+		return "", false
+	}
+	return values[0], true
+}
+
 // UpstreamStated is the event that an upstream of a pool made a statement in a response to this host.
 type UpstreamStated struct {
 	Pool      PoolID
--- a/core/validate.go
+++ b/core/validate.go
@@ -160,7 +160,7 @@
 
 func (o *Observation) validate() error {
 	set := 0
-	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil} {
+	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil, o.UpstreamLeaving != nil} {
 		if isSet {
 			set++
 		}
@@ -176,6 +176,8 @@
 		return o.PromptQuarantine.validate()
 	case o.UpstreamLimit != nil:
 		return o.UpstreamLimit.validate()
+	case o.UpstreamLeaving != nil:
+		return o.UpstreamLeaving.Validate()
 	}
 	return nil
 }
