io/upstream, io/caller: limits, leaving and Retry-After on our own protocol

An announcement does not take back what a response said. A pool that has only leaving upstreams refuses after 3 s what waits there, on our own interface it waited until the request's own deadline.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -15,6 +15,8 @@
 	sweepInterval = 100 * time.Millisecond
 	// noUpstreamTimeout is how long a pool may have no upstream before its queued attempts are refused.
 	noUpstreamTimeout = 2 * time.Second
+	// onlyLeavingTimeout is the same for a pool that has only leaving upstreams, whose successors are usually starting.
+	onlyLeavingTimeout = 3 * time.Second
 	// cancelResendInterval is the time between sends of a cancel until the engine confirms it; after cancelTimeout it
 	// is given up. An engine that has missed heartbeats for that long has usually been removed from the pool
 	// (staleTimeout).
@@ -309,9 +311,13 @@
 	if len(pl.upstreams) > 0 {
 		pl.emptySince = t.Now
 	}
+	if pl.hasStaying() {
+		pl.leavingSince = t.Now
+	}
 	c.postPoolLimited(t, pl)
 	noUpstream := t.Now.Sub(pl.emptySince) >= noUpstreamTimeout
-	expired := func(item *queueItem) bool { return noUpstream || core.Due(item.deadline, t.Now) }
+	unserved := noUpstream || t.Now.Sub(pl.leavingSince) >= onlyLeavingTimeout
+	expired := func(item *queueItem) bool { return unserved || core.Due(item.deadline, t.Now) }
 	for _, item := range append(pl.onTime.removeWhere(expired), pl.late.removeWhere(expired)...) {
 		failure := pl.overloaded(item.request.Account, t.Now)
 		if noUpstream {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -51,8 +51,9 @@
 	claimsDeadline     time.Time
 	// suspicions has the upstreams of a plain service at which calls of several hosts failed.
 	suspicions map[core.UpstreamID]*suspicion
-	// emptySince is since when the pool has had no upstream.
-	emptySince time.Time
+	// emptySince is since when the pool has had no upstream, leavingSince since when it has had none that is not leaving.
+	emptySince   time.Time
+	leavingSince time.Time
 	// engine is the configuration of the pool's engines, or nil; kvBlockTokens is the allocation unit of their memory.
 	engine        *core.Engine
 	kvBlockTokens core.Tokens
@@ -108,7 +109,7 @@
 func newPool(id core.PoolID, now time.Time) *pool {
 	return &pool{
 		id: id, upstreams: map[core.UpstreamID]*upstream{}, onTime: newFairQueue(), late: newFairQueue(),
-		reservations: map[core.AttemptID]*reservation{}, emptySince: now,
+		reservations: map[core.AttemptID]*reservation{}, emptySince: now, leavingSince: now,
 		decodeCandidates: ordered.Heap[*upstream]{Index: func(u *upstream) *int { return &u.decodeIndex }, Less: lessLoaded},
 		prefillCandidates: ordered.Heap[*upstream]{
 			Index: func(u *upstream) *int { return &u.prefillIndex }, Less: shorterPrefill,
@@ -372,7 +373,7 @@
 	}
 	u.misdirected = u.misdirected && a.Seq > 0 && a.Seq == u.Seq
 	// Within an incarnation, a known upstream that is leaving stays leaving, since announcements may arrive late.
-	a.Leaving = a.Leaving || (a.Seq > 0 && u.Leaving)
+	a.Leaving = a.Leaving || (a.Seq > 0 && u.Leaving) || u.saidLeaving
 	u.Announcement = a
 	u.lastSeen = later(u.lastSeen, now)
 	p.lastSeen = later(p.lastSeen, now)
@@ -400,6 +401,16 @@
 	}
 }
 
+// hasStaying reports whether the pool has an upstream that is not leaving.
+func (p *pool) hasStaying() bool {
+	for _, u := range p.upstreams {
+		if !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // isUnused reports whether the pool is empty and has had no upstream for staleTimeout.
 func (p *pool) isUnused(now time.Time) bool {
 	return len(p.upstreams) == 0 && len(p.reservations) == 0 && p.queueLength() == 0 &&
--- a/core/dispatch/statement.go
+++ b/core/dispatch/statement.go
@@ -38,9 +38,10 @@
 
 // leavingStated stops placing requests at an upstream that said that it is leaving, and tells the other hosts.
 func (c *component) leavingStated(t *core.Turn, e core.UpstreamStated, u *upstream) {
-	left := core.UpstreamDeregistered{ID: e.Statement.Upstream}
+	left := core.UpstreamDeregistered{ID: e.Statement.Upstream, Stated: true}
 	if u != nil {
 		left.Incarnation = u.Incarnation
+		u.saidLeaving = true
 		if c.markLeaving(t, u, "the upstream said in a response that it is leaving") && c.localPlacement {
 			t.Post(core.ShareObservation{Observation: core.Observation{UpstreamLeaving: &left}})
 		}
@@ -58,6 +59,7 @@
 func (c *component) leavingHeard(t *core.Turn, left *core.UpstreamDeregistered) bool {
 	for _, pl := range c.sortedPools() {
 		if u := pl.upstreams[left.ID]; u != nil && left.Incarnation == u.Incarnation {
+			u.saidLeaving = true
 			return c.markLeaving(t, u, "another host heard that the upstream is leaving")
 		}
 	}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -66,6 +66,8 @@
 	backoff             time.Duration
 	limit               rateLimit
 	refusals            refusals
+	// saidLeaving is true if the upstream said in a response that it is leaving; its announcements may not know that.
+	saidLeaving bool
 	// malformedLoggedAt is when a malformed statement of the upstream was last logged.
 	malformedLoggedAt time.Time
 	// decodeIndex and prefillIndex are the positions in the pool's candidate heaps, or -1.
--- a/core/dispatch/upstreamlist.go
+++ b/core/dispatch/upstreamlist.go
@@ -143,6 +143,7 @@
 		if u == nil || u.Leaving || (deregistered.Incarnation != 0 && deregistered.Incarnation < u.Incarnation) {
 			continue
 		}
+		u.saidLeaving = u.saidLeaving || deregistered.Stated
 		c.markLeaving(t, u, "the upstream deregistered")
 	}
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -402,7 +402,7 @@
 		r.reconnectCount++
 		t.LogDecision(core.Decision{Component: "entry", Choice: "resume", Reason: e.Failure.Message, Request: r.ID, Attempt: e.Attempt.Number, Pool: r.pool, Target: string(r.grant.Decode)})
 		t.Emit(core.RunDecode{
-			Attempt: e.Attempt, Addr: r.grant.DecodeAddr, Epoch: r.grant.Epoch,
+			Attempt: e.Attempt, Addr: r.grant.DecodeAddr, UpstreamID: r.grant.Decode, Account: r.account.ID, Epoch: r.grant.Epoch,
 			MaxTokens: r.outputLimit - r.relayedTokens, Resume: true, TokenTimeout: defaultTokenTimeout,
 		})
 		return
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -119,6 +119,8 @@
 type UpstreamDeregistered struct {
 	ID          UpstreamID `cbor:"id"`
 	Incarnation uint64     `cbor:"incarnation"`
+	// Stated is true if the upstream said in a response that it is leaving.
+	Stated bool `cbor:"stated,omitempty"`
 }
 
 // Validate returns a KindBadRequest error if a field of the deregistration is out of range.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -74,26 +74,31 @@
 }
 
 func (x *exchange) prefill(a core.RunPrefill) {
-	request := &upstream.PrefillRequest{Attempt: a.Attempt.String(), Epoch: a.Epoch, Body: x.body, Generated: x.outputText.String(), PrefixHashes: a.PrefixHashes}
+	request := &upstream.PrefillRequest{Upstream: a.UpstreamID, Attempt: a.Attempt.String(), Epoch: a.Epoch, Body: x.body, Generated: x.outputText.String(), PrefixHashes: a.PrefixHashes}
 	resp, f := x.client.Prefill(a.Addr, request, a.Timeout)
 	x.loop.Post(core.PrefillEnded{
 		Attempt: a.Attempt, KV: core.KVRef{Addr: a.Addr, Handle: resp.Handle},
-		PromptTokens: resp.PromptTokens, Failure: f,
+		PromptTokens: resp.PromptTokens, Failure: f, Statement: resp.Statement,
 	})
 }
 
 func (x *exchange) decode(a core.RunDecode) {
 	request := &upstream.DecodeRequest{
-		Attempt: a.Attempt.String(), Epoch: a.Epoch, KVAddr: a.KV.Addr, KVHandle: a.KV.Handle, Body: x.body,
+		Upstream: a.UpstreamID, Attempt: a.Attempt.String(), Epoch: a.Epoch, KVAddr: a.KV.Addr, KVHandle: a.KV.Handle, Body: x.body,
 		Generated: x.outputText.String(), Offset: x.outputTokens, MaxTokens: a.MaxTokens, Resume: a.Resume,
 	}
 	first := x.outputTokens == 0
-	result := x.client.Decode(a.Addr, request, a.TokenTimeout, func(text string) error {
-		if first {
-			first = false
-			x.loop.TryPost(core.FirstToken{Attempt: a.Attempt})
-		}
-		return x.relayToken(text)
+	result := x.client.Decode(a.Addr, request, a.TokenTimeout, upstream.DecodeCallbacks{
+		OnStart: func(s *core.UpstreamStatement) {
+			x.loop.TryPost(core.StreamStarted{Attempt: a.Attempt, Statement: s})
+		},
+		OnToken: func(text string) error {
+			if first {
+				first = false
+				x.loop.TryPost(core.FirstToken{Attempt: a.Attempt})
+			}
+			return x.relayToken(text)
+		},
 	})
 	if result.Failure == nil {
 		x.finishReason = result.FinishReason
@@ -103,7 +108,7 @@
 	}
 	x.loop.Post(core.DecodeEnded{
 		Attempt: a.Attempt, RelayedTokens: x.outputTokens, Failure: result.Failure, ConnectionLost: result.ConnectionLost,
-		RemoteClosed: result.RemoteClosed,
+		RemoteClosed: result.RemoteClosed, Statement: result.Statement,
 	})
 }
 
@@ -130,6 +135,7 @@
 	ended := core.CallEnded{Attempt: a.Attempt, Failure: f}
 	if f == nil {
 		ended.Response = storedResponse(x.serviceResponse)
+		ended.Statement = upstream.Statement(a.UpstreamID, &x.serviceResponse.Header)
 	}
 	x.loop.Post(ended)
 }
--- a/io/console/standins.go
+++ b/io/console/standins.go
@@ -9,6 +9,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/engine"
 	"oleanderlever/io/service"
+	"oleanderlever/io/upstream"
 )
 
 type standInFlags struct {
@@ -19,6 +20,7 @@
 	Hosts      []addrPort `long:"host" required:"true" description:"upstream address of a host for announcements; may be repeated"`
 	Secret     string     `long:"secret" env:"OLEANDERLEVER_UPSTREAM_SECRET"`
 	Slots      int        `long:"slots" default:"20" description:"maximum concurrent streams or requests"`
+	RateLimit  float64    `long:"rate-limit" description:"requests a second that the upstream says it takes from all hosts together"`
 }
 
 type engineCommand struct {
@@ -40,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	e.SetFaults(engine.Faults{Said: upstream.Said{RateLimit: c.RateLimit}})
 	waitForSignal()
 	e.Stop()
 	return nil
@@ -59,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	s.SetFaults(service.Faults{Said: upstream.Said{RateLimit: c.RateLimit}})
 	waitForSignal()
 	s.Stop()
 	return nil
--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -106,7 +106,7 @@
 			require.Nil(b, failure)
 			end := c.Decode(e.Addr(), &upstream.DecodeRequest{
 				Attempt: a.String(), KVAddr: e.Addr(), KVHandle: p.Handle, Body: request, MaxTokens: 16,
-			}, time.Second, func(string) error { return nil })
+			}, time.Second, upstream.DecodeCallbacks{OnToken: func(string) error { return nil }})
 			require.Nil(b, end.Failure)
 		}
 	})
@@ -170,10 +170,10 @@
 	got := 0
 	end := c.Decode(e.Addr(), &upstream.DecodeRequest{
 		Attempt: a.String(), KVAddr: e.Addr(), KVHandle: p.Handle, Body: body("relay", true), MaxTokens: maxTokens,
-	}, testTimeout, func(string) error {
+	}, testTimeout, upstream.DecodeCallbacks{OnToken: func(string) error {
 		got++
 		return nil
-	})
+	}})
 	if end.Failure != nil {
 		return got, end.Failure
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -49,6 +49,7 @@
 	RejectRequests bool `json:"refuse"`
 	// FailPrefills responds to every prefill with an error.
 	FailPrefills bool `json:"failPrefill"`
+	upstream.Said
 }
 
 const (
--- a/io/engine/server.go
+++ b/io/engine/server.go
@@ -90,6 +90,10 @@
 		writeError(ctx, fasthttp.StatusUnauthorized, "forbidden", "wrong or missing credentials", true)
 		return
 	}
+	h.engine.mu.Lock()
+	said := h.engine.faults.Said
+	h.engine.mu.Unlock()
+	defer func() { said.SetHeaders(&ctx.Response.Header) }()
 	path := string(ctx.Path())
 	switch {
 	case path == upstream.PathPrefill:
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -34,6 +34,9 @@
 type Faults struct {
 	// CloseAfterExecution closes the connection after each call is executed, without a response.
 	CloseAfterExecution bool `json:"closeAfterRun"`
+	// RejectRequests responds to every call with status 503 and does not execute it.
+	RejectRequests bool `json:"refuse"`
+	upstream.Said
 }
 
 // PathFaults accepts Faults as JSON; it is not part of the upstream protocol.
@@ -157,6 +160,11 @@
 		s.recentRequests.Reset()
 	}
 	_, _ = s.recentRequests.WriteString(ctx.Request.String())
+	defer func() { s.faults.SetHeaders(&ctx.Response.Header) }()
+	if s.faults.RejectRequests {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	body := string(ctx.PostBody())
 	if !ctx.IsGet() {
 		s.callCounts[body]++
--- a/io/upstream/announcer.go
+++ b/io/upstream/announcer.go
@@ -93,7 +93,7 @@
 // send tries each host at most once, starting with the one that accepted the last message.
 func (a *Announcer) send(path string, body any) {
 	for range a.Hosts {
-		resp, f := a.client.send(a.Hosts[a.hostIndex%len(a.Hosts)], path, body, messageTimeout)
+		resp, f := a.client.send(a.Hosts[a.hostIndex%len(a.Hosts)], "", path, body, messageTimeout)
 		if f == nil && resp.status == fasthttp.StatusNoContent {
 			return
 		}
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -77,10 +77,10 @@
 	} {
 		addr := serveLines(t, c.lines...)
 		text := ""
-		result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, time.Second, func(s string) error {
+		result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, time.Second, upstream.DecodeCallbacks{OnToken: func(s string) error {
 			text += s
 			return nil
-		})
+		}})
 		require.Equal(t, c.text, text, c.name)
 		require.Equal(t, c.fails, result.Failure != nil, "%s: %v", c.name, result.Failure)
 		require.Equal(t, c.connectionLost, result.ConnectionLost, c.name)
@@ -95,7 +95,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s\n", tokenLine("r/1", 0))
 		}
 	})
-	result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, 100*time.Millisecond, func(string) error { return nil })
+	result := upstream.NewClient("", nil).Decode(addr, &upstream.DecodeRequest{Attempt: "r/1"}, 100*time.Millisecond, upstream.DecodeCallbacks{OnToken: func(string) error { return nil }})
 	require.True(t, result.ConnectionLost)
 	require.False(t, result.Failure.NotExecuted)
 }
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -111,7 +111,7 @@
 			c := upstream.NewClient("", http1.NewMemoryBudget(bodyMemory))
 			endsWithin(t, 3*time.Second, func() {
 				request := &upstream.DecodeRequest{Attempt: "r/1", Body: []byte("{}")}
-				result := c.Decode(addr, request, 300*time.Millisecond, func(string) error { return nil })
+				result := c.Decode(addr, request, 300*time.Millisecond, upstream.DecodeCallbacks{OnToken: func(string) error { return nil }})
 				require.NotNil(t, result.Failure)
 				require.False(t, result.Failure.NotExecuted)
 			})
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -43,7 +43,7 @@
 
 // errorFailure converts an upstream's error response. The upstream's statement that the request was not executed is trusted if
 // it names the attempt: a response on a kept connection may belong to an earlier one.
-func errorFailure(status int, body []byte, attempt string) *core.Failure {
+func errorFailure(status int, body []byte, attempt string, s *core.UpstreamStatement) *core.Failure {
 	var r ErrorResponse
 	if err := json.Unmarshal(body, &r); err != nil {
 		return core.Fail(core.KindUpstreamFailed, "the upstream responded with status %d", status)
@@ -58,17 +58,24 @@
 	case r.NotExecuted:
 		kind = core.KindUpstreamRefused
 	}
-	return &core.Failure{Kind: kind, Message: r.Message, NotExecuted: r.NotExecuted}
+	f := &core.Failure{Kind: kind, Message: r.Message, NotExecuted: r.NotExecuted}
+	if r.NotExecuted && s != nil {
+		f.RetryAfter = s.RetryAfter
+	}
+	return f
 }
 
 // response is an upstream's complete response.
 type response struct {
-	status int
-	body   []byte
+	status    int
+	body      []byte
+	statement *core.UpstreamStatement
 }
 
 // send sends a POST request with a JSON body and reads the complete response.
-func (c *Client) send(addr netip.AddrPort, path string, body any, timeout time.Duration) (response, *core.Failure) {
+func (c *Client) send(
+	addr netip.AddrPort, id core.UpstreamID, path string, body any, timeout time.Duration,
+) (response, *core.Failure) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := c.fillRequest(req, addr, path, body); err != nil {
@@ -78,21 +85,23 @@
 	if f != nil {
 		return response{}, f
 	}
+	statement := Statement(id, &r.header)
 	memory := c.NewLease()
 	defer memory.Release()
 	reply, f := c.readBody(r, maxReplyBytes, memory)
-	return response{status: r.header.StatusCode(), body: reply}, f
+	return response{status: r.header.StatusCode(), body: reply, statement: statement}, f
 }
 
 // Prefill requests the KV cache of a prompt from an engine.
 func (c *Client) Prefill(addr netip.AddrPort, request *PrefillRequest, timeout time.Duration) (PrefillResponse, *core.Failure) {
 	var result PrefillResponse
-	resp, f := c.send(addr, PathPrefill, request, timeout)
+	resp, f := c.send(addr, request.Upstream, PathPrefill, request, timeout)
+	result.Statement = resp.statement
 	if f != nil {
 		return result, f
 	}
 	if resp.status != fasthttp.StatusOK {
-		return result, errorFailure(resp.status, resp.body, request.Attempt)
+		return result, errorFailure(resp.status, resp.body, request.Attempt, resp.statement)
 	}
 	if err := json.Unmarshal(resp.body, &result); err != nil || result.Attempt != request.Attempt || result.PromptTokens < 0 {
 		return result, core.Fail(core.KindUpstreamFailed, "the prefill response is invalid or not for attempt %s", request.Attempt)
@@ -102,15 +111,15 @@
 
 // Cancel requests that an engine free all resources of an attempt and reports whether the engine acknowledged it.
 func (c *Client) Cancel(addr netip.AddrPort, id core.AttemptID) bool {
-	resp, f := c.send(addr, PathCancel, &CancelRequest{Attempt: id.String()}, cancelTimeout)
+	resp, f := c.send(addr, "", PathCancel, &CancelRequest{Attempt: id.String()}, cancelTimeout)
 	return f == nil && resp.status == fasthttp.StatusOK
 }
 
 // Assign sends an assign request to an engine and waits for the response.
 func (c *Client) Assign(addr netip.AddrPort, req core.AssignRequest, timeout time.Duration) *core.Failure {
-	resp, f := c.send(addr, PathAssign, &AssignRequest{Epoch: req.Epoch, Assignment: req.Assignment}, timeout)
+	resp, f := c.send(addr, "", PathAssign, &AssignRequest{Epoch: req.Epoch, Assignment: req.Assignment}, timeout)
 	if f == nil && resp.status != fasthttp.StatusOK {
-		f = errorFailure(resp.status, resp.body, "")
+		f = errorFailure(resp.status, resp.body, "", nil)
 	}
 	return f
 }
@@ -125,12 +134,21 @@
 	// RemoteClosed is true if the connection was lost because the engine closed or reset it.
 	RemoteClosed bool
 	Failure      *core.Failure
+	// Statement is what the engine said of itself, or nil if it did not respond.
+	Statement *core.UpstreamStatement
 }
 
-// Decode requests a stream of tokens and passes each token to onToken in order. It checks offsets and attempt ID, so
-// that a stream with a gap or with another attempt's tokens ends in a failure and not in a wrong response. An error from
-// onToken means that the caller disconnected and ends the stream.
-func (c *Client) Decode(addr netip.AddrPort, request *DecodeRequest, tokenTimeout time.Duration, onToken func(text string) error) DecodeResult {
+// DecodeCallbacks are called while a stream is read.
+type DecodeCallbacks struct {
+	// OnStart, if set, gets what the engine says of itself when its response begins.
+	OnStart func(s *core.UpstreamStatement)
+	// OnToken gets each token in order. An error means that the caller disconnected and ends the stream.
+	OnToken func(text string) error
+}
+
+// Decode requests a stream of tokens and passes each token on in order. It checks offsets and attempt ID, so that a stream with
+// a gap or with another attempt's tokens ends in a failure and not in a wrong response.
+func (c *Client) Decode(addr netip.AddrPort, request *DecodeRequest, tokenTimeout time.Duration, callbacks DecodeCallbacks) DecodeResult {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := c.fillRequest(req, addr, PathDecode, request); err != nil {
@@ -140,18 +158,22 @@
 	if f != nil {
 		return DecodeResult{Failure: f, ConnectionLost: !f.NotExecuted}
 	}
+	statement := Statement(request.Upstream, &r.header)
 	if r.header.StatusCode() != fasthttp.StatusOK {
 		memory := c.NewLease()
 		defer memory.Release()
 		body, f := c.readBody(r, maxReplyBytes, memory)
 		if f == nil {
-			f = errorFailure(r.header.StatusCode(), body, request.Attempt)
+			f = errorFailure(r.header.StatusCode(), body, request.Attempt, statement)
 		}
-		return DecodeResult{Failure: f}
+		return DecodeResult{Failure: f, Statement: statement}
+	}
+	if callbacks.OnStart != nil {
+		callbacks.OnStart(statement)
 	}
 	body := http1.Body(r.conn.Reader, r.header.ContentLength())
 	result := readTokens(body, request, func(text string) error {
-		if err := onToken(text); err != nil {
+		if err := callbacks.OnToken(text); err != nil {
 			return err
 		}
 		return r.conn.SetDeadline(time.Now().Add(tokenTimeout))
@@ -160,6 +182,7 @@
 		r.closeConn = true
 	}
 	c.release(r)
+	result.Statement = statement
 	return result
 }
 
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -28,8 +28,10 @@
 
 // PrefillRequest requests the KV cache of a prompt from an engine.
 type PrefillRequest struct {
-	Attempt string     `json:"attempt"`
-	Epoch   core.Epoch `json:"epoch"`
+	// Upstream is the engine that the request is for.
+	Upstream core.UpstreamID `json:"-"`
+	Attempt  string          `json:"attempt"`
+	Epoch    core.Epoch      `json:"epoch"`
 	// Body is the unmodified body of the caller's request, including fields that the host does not know.
 	Body json.RawMessage `json:"body"`
 	// Generated is the text that earlier attempts generated; it follows the prompt.
@@ -43,10 +45,14 @@
 	Handle       string      `json:"handle"`
 	PromptTokens core.Tokens `json:"promptTokens"`
 	CachedTokens core.Tokens `json:"cachedTokens"`
+	// Statement is what the engine said of itself, or nil if it did not respond.
+	Statement *core.UpstreamStatement `json:"-"`
 }
 
 // DecodeRequest requests output tokens from an engine, or with Resume the rest of a stream that the engine still keeps.
 type DecodeRequest struct {
+	// Upstream is the engine that the request is for.
+	Upstream  core.UpstreamID `json:"-"`
 	Attempt   string          `json:"attempt"`
 	Epoch     core.Epoch      `json:"epoch"`
 	KVAddr    netip.AddrPort  `json:"kvFrom"`
--- a/io/upstream/refusal_test.go
+++ b/io/upstream/refusal_test.go
@@ -28,7 +28,7 @@
 			}
 		})
 		client := upstream.NewClient("", nil)
-		result := client.Decode(addr, &upstream.DecodeRequest{Attempt: "r/2"}, time.Second, func(string) error { return nil })
+		result := client.Decode(addr, &upstream.DecodeRequest{Attempt: "r/2"}, time.Second, upstream.DecodeCallbacks{OnToken: func(string) error { return nil }})
 		require.Equal(t, c.notExecuted, result.Failure.NotExecuted, "decode, %s", c.name)
 		_, f := client.Prefill(addr, &upstream.PrefillRequest{Attempt: "r/2"}, time.Second)
 		require.Equal(t, c.notExecuted, f.NotExecuted, "prefill, %s", c.name)
