core/dispatch, core/entry: what one host finds of refusals serves all; no prefill twice

Seen by callers: while two of three upstreams of a plain service turned work away, calls were refused or late until each host had been refused often enough itself; a refused stream went to the same engine again. Change: the back-off of an upstream that refuses most calls goes to the other hosts by gossip. A refused decode goes to another engine where the route allows a second one, without another prefill: one more request instead of up to three.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -214,7 +214,7 @@
 	if p.decodeCandidates.Len() == 0 {
 		p.wakeOne(now)
 	}
-	bare := !item.request.PlainService && p.engine != nil && !p.canPrefill(&item.request, now)
+	bare := !item.request.PlainService && p.engine != nil && (item.request.WithoutPrefill || !p.canPrefill(&item.request, now))
 	decode, result := p.chooseDecode(item, memory, bare, now)
 	if result != placeOK {
 		return nil, decode, result
@@ -226,7 +226,7 @@
 	r.grant.Decode, r.grant.DecodeAddr = decode.best.ID, decode.best.Addr
 	r.grant.SingleRequest = decode.best.limit.rate > 0 || decode.best.refusals.isShedding()
 	prefill := selection{}
-	if !item.request.PlainService {
+	if !item.request.PlainService && !(p.engine != nil && item.request.WithoutPrefill) {
 		prefill = p.choosePrefill(item, decode.best, now)
 	}
 	// Where both engines limit their requests, the decode engine has time to prefill, and one request does for two.
--- a/core/dispatch/refusals.go
+++ b/core/dispatch/refusals.go
@@ -122,6 +122,32 @@
 	return wait, ok
 }
 
+// shareRefusal tells other hosts of the back-off of an upstream that refuses most calls: each of them places its own calls to a
+// plain service, and would have to be refused too.
+func (c *component) shareRefusal(t *core.Turn, pl *pool, u *upstream) {
+	remaining := u.refusals.until.Sub(t.Now)
+	if !c.localPlacement || pl.engine != nil || !u.refusals.isShedding() || remaining <= 0 {
+		return
+	}
+	t.Post(core.ShareObservation{Observation: core.Observation{UpstreamRefusal: &core.UpstreamRefusal{
+		Pool: pl.id, Upstream: u.ID, Incarnation: u.Incarnation, Backoff: u.refusals.backoff, Remaining: min(remaining, maxRefusalBackoff),
+	}}})
+}
+
+// refusalHeard applies the back-off that another host has found and reports whether it is new here.
+func (c *component) refusalHeard(t *core.Turn, m *core.UpstreamRefusal) bool {
+	u := c.findUpstream(m.Pool, m.Upstream)
+	remaining := min(m.Remaining, maxRefusalBackoff)
+	if u == nil || u.Incarnation != m.Incarnation || u.refusals.until.Sub(t.Now) >= remaining {
+		return false
+	}
+	u.refusals.ratio = max(u.refusals.ratio, sheddingRatio)
+	u.refusals.backoff = min(max(u.refusals.backoff, m.Backoff), maxRefusalBackoff)
+	u.refusals.until, u.refusals.inTrial = t.Now.Add(remaining), false
+	c.pools[m.Pool].refresh(u, t.Now, c.config.Policy(m.Pool))
+	return true
+}
+
 // recordRefusal applies the refusal that a release reports.
 func (c *component) recordRefusal(t *core.Turn, pl *pool, m *core.PlacementRelease) {
 	u := pl.upstreams[m.RefusedBy]
@@ -130,6 +156,7 @@
 	}
 	u.refusals.record(m.RetryAfter, m.WithKV, t.Now)
 	pl.refresh(u, t.Now, c.config.Policy(pl.id))
+	c.shareRefusal(t, pl, u)
 	t.LogDecision(core.Decision{
 		Component: "dispatch", Choice: "refused", Reason: "the upstream refused an attempt; it gets none for " + max(0, u.refusals.until.Sub(t.Now)).String(),
 		Request: m.Attempt.Request, Attempt: m.Attempt.Number, Pool: pl.id, Target: string(u.ID), Score: u.refusals.ratio,
--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -90,6 +90,9 @@
 	if left := item.Observation.UpstreamLeaving; left != nil && c.leavingHeard(t, left) {
 		t.Post(core.PassOn{Item: item})
 	}
+	if r := item.Observation.UpstreamRefusal; r != nil && c.refusalHeard(t, r) {
+		t.Post(core.PassOn{Item: item})
+	}
 	f := item.Observation.UpstreamFailure
 	if f == nil {
 		return
--- a/core/entry/budget_test.go
+++ b/core/entry/budget_test.go
@@ -74,3 +74,18 @@
 	h.advance(time.Minute)
 	require.Equal(t, 3, releases())
 }
+
+// A decode that was refused went to the same engine again and then, with another prefill, to the next one: three more requests
+// where one is enough.
+func TestRefusedDecodeGoesElsewhereWithoutAnotherPrefill(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	h.step(core.MessageReceived{From: "replica", Message: core.UpstreamList{Seen: []core.SeenUpstream{prefillEngine("p1", "10.0.1.9:80")}}})
+	h.submit("r", "/stream-resumable/1")
+	h.step(core.PrefillEnded{Attempt: core.AttemptID{Request: "r", Number: 1}, PromptTokens: 1000, KV: core.KVRef{Handle: "k"}})
+	h.step(core.DecodeEnded{Attempt: core.AttemptID{Request: "r", Number: 1}, Failure: notExecuted})
+	decodes := actionsOf[core.RunDecode](h)
+	require.Len(t, decodes, 2)
+	require.NotEqual(t, decodes[0].UpstreamID, decodes[1].UpstreamID)
+	require.Empty(t, decodes[1].KV.Handle)
+	require.Len(t, actionsOf[core.RunPrefill](h), 1)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -407,13 +407,22 @@
 		})
 		return
 	}
-	if e.Failure.NotExecuted && e.Failure.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV && !r.grant.SingleRequest && e.Failure.RetryAfter == 0 && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
-		c.decodeWithoutKV(t, r, e.Failure.Error(), r.grant.Decode)
-		return
+	if r.wasKVRefused(e.Failure) {
+		// Another engine that prefills the prompt itself helps whether this one or the KV cache was the reason.
+		r.nextWithoutPrefill = r.mayRetry(e.Failure)
+		if !r.nextWithoutPrefill && !r.grant.SingleRequest && e.Failure.RetryAfter == 0 && c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
+			c.decodeWithoutKV(t, r, e.Failure.Error(), r.grant.Decode)
+			return
+		}
 	}
 	c.attemptFailed(t, r, e.Failure, r.grant.Decode)
 }
 
+// wasKVRefused reports whether a decode engine refused a stream that has the KV cache of a prefill.
+func (r *request) wasKVRefused(f *core.Failure) bool {
+	return f.NotExecuted && f.Kind != core.KindMisdirected && r.route.Streaming && r.grant.Prefill != "" && !r.withoutKV
+}
+
 // wasRefused reports whether an upstream got a request and refused it, so that the next one is a retry although none has been
 // executed.
 func wasRefused(f *core.Failure) bool {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -74,6 +74,8 @@
 	// prefills of all attempts.
 	withoutKV    bool
 	prefillCount int
+	// nextWithoutPrefill is true if the next attempt needs no prefill engine.
+	nextWithoutPrefill bool
 	// relayedTokens is the number of tokens sent to the caller; enginePromptTokens is the prompt length that the engine
 	// reported.
 	relayedTokens      core.Tokens
@@ -117,7 +119,9 @@
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		PromptTokens: r.PromptTokens + r.relayedTokens, OutputTokens: r.remainingOutput(), PrefixHashes: r.PrefixHashes,
 		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now), Urgent: r.relayedTokens > 0,
+		WithoutPrefill: r.nextWithoutPrefill,
 	}
+	r.nextWithoutPrefill = false
 	r.grant = core.PlacementGrant{}
 	r.otherDispatchers = nil
 	r.reconnectCount = 0
--- a/core/message.go
+++ b/core/message.go
@@ -286,6 +286,8 @@
 	// far.
 	Remaining time.Duration `cbor:"left"`
 	Waited    time.Duration `cbor:"waited"`
+	// WithoutPrefill is true if the decode engine is to prefill the prompt, where engines can.
+	WithoutPrefill bool `cbor:"withoutPrefill,omitempty"`
 	// Urgent is true if the attempt continues a response that the caller has received in part.
 	Urgent bool `cbor:"urgent"`
 	// LocalLoad is set if a host places an attempt itself, with only its own reservations to go by.
@@ -490,6 +492,7 @@
 	PromptSound      *PromptSound      `cbor:"promptSound,omitempty"`
 	PromptQuarantine *PromptQuarantine `cbor:"promptQuarantine,omitempty"`
 	UpstreamLimit    *UpstreamLimit    `cbor:"upstreamLimit,omitempty"`
+	UpstreamRefusal  *UpstreamRefusal  `cbor:"upstreamRefusal,omitempty"`
 	// UpstreamLeaving is an upstream that said in a response that it is leaving.
 	UpstreamLeaving *UpstreamDeregistered `cbor:"upstreamLeaving,omitempty"`
 }
@@ -501,6 +504,15 @@
 	Incarnation uint64     `cbor:"incarnation"`
 }
 
+// UpstreamRefusal is the back-off of an upstream of a plain service that refuses most calls, with the time that remains.
+type UpstreamRefusal struct {
+	Pool        PoolID        `cbor:"pool"`
+	Upstream    UpstreamID    `cbor:"upstream"`
+	Incarnation uint64        `cbor:"incarnation"`
+	Backoff     time.Duration `cbor:"backoff"`
+	Remaining   time.Duration `cbor:"remaining"`
+}
+
 // PromptCrash is the crash of an engine at the start of a response to a prompt with these parts.
 type PromptCrash struct {
 	Upstream UpstreamID `cbor:"upstream"`
--- a/core/validate.go
+++ b/core/validate.go
@@ -160,7 +160,7 @@
 
 func (o *Observation) validate() error {
 	set := 0
-	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil, o.UpstreamLeaving != nil} {
+	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil, o.UpstreamLeaving != nil, o.UpstreamRefusal != nil} {
 		if isSet {
 			set++
 		}
@@ -176,6 +176,8 @@
 		return o.PromptQuarantine.validate()
 	case o.UpstreamLimit != nil:
 		return o.UpstreamLimit.validate()
+	case o.UpstreamRefusal != nil:
+		return o.UpstreamRefusal.validate()
 	case o.UpstreamLeaving != nil:
 		return o.UpstreamLeaving.Validate()
 	}
@@ -189,6 +191,16 @@
 	return ValidateName("gossip.upstream", string(f.Upstream))
 }
 
+func (r *UpstreamRefusal) validate() error {
+	if err := ValidateName("gossip.pool", string(r.Pool)); err != nil {
+		return err
+	}
+	if r.Remaining <= 0 || r.Remaining > maxDuration || r.Backoff < 0 || r.Backoff > maxDuration {
+		return Fail(KindBadRequest, "gossip: the back-off is out of range")
+	}
+	return ValidateName("gossip.upstream", string(r.Upstream))
+}
+
 func (c *PromptCrash) validate() error {
 	if len(c.Parts) == 0 || len(c.Parts) > MaxPromptParts {
 		return Fail(KindBadRequest, "gossip: a crash has %d prompt parts", len(c.Parts))
