core/entry: the Retry-After of one upstream is not passed on to callers

Seen by callers: a request that one upstream refused with a long Retry-After was told to come back late, though others could have served it at once. Cause: the refusal's time went into the failure for the caller. Change: only the dispatcher, which knows all upstreams of the pool, tells a time.

--- a/core/entry/budget_test.go
+++ b/core/entry/budget_test.go
@@ -89,3 +89,25 @@
 	require.Empty(t, decodes[1].KV.Handle)
 	require.Len(t, actionsOf[core.RunPrefill](h), 1)
 }
+
+// The Retry-After of one upstream was passed on to the caller of a request that it refused, although others could have served the
+// caller at once.
+func TestRetryAfterOfOneUpstreamIsNotThatOfThePool(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	h.submit("r", "/call/1")
+	calls := actionsOf[core.RunCall](h)
+	require.Len(t, calls, 1)
+	refused := *notExecuted
+	refused.RetryAfter = 30 * time.Second
+	statement := core.UpstreamStatement{Upstream: calls[0].UpstreamID, ReadAt: h.now, RetryAfter: refused.RetryAfter, HasRateLimit: true}
+	h.step(core.CallEnded{Attempt: calls[0].Attempt, Failure: &refused, Statement: &statement})
+	require.Zero(t, h.refusal("r").RetryAfter)
+	for n := range 5 {
+		h.submit(core.RequestID(fmt.Sprint("s", n)), "/call/1")
+	}
+	calls = actionsOf[core.RunCall](h)
+	require.Greater(t, len(calls), 1, "the other upstream serves the next ones")
+	for _, call := range calls[1:] {
+		require.NotEqual(t, calls[0].UpstreamID, call.UpstreamID)
+	}
+}
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -27,6 +27,8 @@
 		out.Kind = core.KindOutcomeUnknown
 	}
 	out.NotExecuted = !r.mayHaveRun
+	// How long one upstream wants no request does not tell the caller when the pool can serve it.
+	out.RetryAfter = 0
 	c.refuse(t, r, &out)
 }
 
--- a/core/entry/retryafter.go
+++ b/core/entry/retryafter.go
@@ -23,13 +23,10 @@
 }
 
 // leftAloneFailure returns the failure of an attempt that needs an upstream which wants no request from this host now, or nil.
-// RetryAfter is the time until it does.
 func (c *component) leftAloneFailure(now time.Time, needed ...core.UpstreamID) *core.Failure {
 	for _, id := range needed {
 		if until, ok := c.leftAlone[id]; ok && now.Before(until) {
-			f := core.Fail(core.KindOverloaded, "upstream %s wants no request for a time", id)
-			f.RetryAfter = until.Sub(now)
-			return f
+			return core.Fail(core.KindOverloaded, "upstream %s wants no request for %v", id, until.Sub(now))
 		}
 	}
 	return nil
