core/entry: the wait for a placement goes on at another dispatcher

Seen by callers: a stream waited longer for its placement than its caller waits for the first event. Change: the end of the wait is fixed when the attempt begins.

--- a/core/entry/placement.go
+++ b/core/entry/placement.go
@@ -28,7 +28,7 @@
 		r.resendAt = t.Now.Add(dispatcherTimeout)
 	}
 	c.schedule(r)
-	r.placement.Remaining = min(r.placement.Remaining, max(0, r.Deadline.Sub(t.Now)))
+	r.placement.Remaining = max(0, core.Earlier(r.placementDeadline, r.Deadline).Sub(t.Now))
 	r.placement.Waited = t.Now.Sub(r.arrivedAt)
 	r.placement.LocalLoad = nil
 	if r.placedWhileIsolated && (!r.plainService || c.limitedPools[r.pool]) {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -66,6 +66,8 @@
 	grant      core.PlacementGrant
 	dispatcher dispatcherID
 	resendAt   time.Time
+	// placementDeadline is when the attempt's wait for its placement ends, at whatever dispatcher.
+	placementDeadline time.Time
 	// queued is true if the dispatcher has queued the last placement request. placedWhileIsolated is true if the local
 	// dispatcher places the attempt because this host is isolated.
 	queued              bool
@@ -122,6 +124,7 @@
 		WithoutPrefill: r.nextWithoutPrefill,
 	}
 	r.nextWithoutPrefill = false
+	r.placementDeadline = now.Add(r.placement.Remaining)
 	r.grant = core.PlacementGrant{}
 	r.otherDispatchers = nil
 	r.reconnectCount = 0
