core/dispatch: no cancel to the zero address

Seen by operators: cancels that no engine confirms, for 30 s each. Change: only engines of the attempt get a cancel. Evidence: TestCancelGoesOnlyToEnginesOfTheAttempt: two cancels before, one now.

--- a/core/dispatch/release.go
+++ b/core/dispatch/release.go
@@ -146,7 +146,7 @@
 		return
 	}
 	c.startCancel(t, r.request.Attempt, r.grant.DecodeAddr)
-	if r.grant.PrefillAddr != r.grant.DecodeAddr {
+	if r.grant.Prefill != "" && r.grant.PrefillAddr != r.grant.DecodeAddr {
 		c.startCancel(t, r.request.Attempt, r.grant.PrefillAddr)
 	}
 }
