io/http1, io/links, platform: what is not of the platform's protocol moves out; names

A placement request withdraws the release of an earlier placement of the same attempt at that dispatcher, which a resend would otherwise apply to the new one. Behaviour is as before else.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -56,8 +56,8 @@
 // chooseDecode selects the upstream with the lowest load plus penalty for another data centre that has a free slot and
 // enough memory. An upstream in Avoid is selected only if no other fits and the pool has no more decode candidates than
 // Avoid has entries; otherwise the attempt waits for another upstream. A suspected upstream of a plain service is selected
-// if no other has a free slot. An upstream whose rate limit is used up is never selected. A bare attempt has no prefill engine and is not given to an
-// engine with a backlog of such prompts.
+// if no other has a free slot. An upstream whose rate limit is used up is never selected. A bare attempt has no prefill engine
+// and is not given to an engine with a backlog of such prompts.
 func (p *pool) chooseDecode(item *queueItem, memory core.Tokens, bare bool, now time.Time) (selection, placeResult) {
 	var fitting, second, avoided, suspect selection
 	examined, slotFree := 0, false
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -229,7 +229,6 @@
 	if !item.request.PlainService && !(p.engine != nil && item.request.WithoutPrefill) {
 		prefill = p.choosePrefill(item, decode.best, now)
 	}
-	// Where both engines limit their requests, the decode engine has time to prefill, and one request does for two.
 	// What an engine that refuses most requests is sent should not be prefilled in vain.
 	bare = p.engine != nil && (prefill.best == nil || decode.best.refusals.isShedding())
 	if item.request.PlainService || bare {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -43,8 +43,8 @@
 	lameDuck       bool
 	// leaving are the upstreams that are leaving or have deregistered; an isolated dispatcher may still choose them.
 	leaving map[core.UpstreamID]bool
-	// leftAlone has the upstreams that told this host to send no request for a time, with its end.
-	leftAlone map[core.UpstreamID]time.Time
+	// retryAfter has the time until which an upstream wants no request from this host.
+	retryAfter map[core.UpstreamID]time.Time
 	// streamsUntil is when a lame duck host stops accepting streams.
 	streamsUntil time.Time
 	// hasUpstreams is true while at least one upstream is available.
@@ -75,7 +75,7 @@
 		dataCentre: env.DataCentre, dispatchers: dispatch.NewDispatcherSelector(env), retryPolicy: env.RetryBudget,
 		dispatcherBackoffUntil: map[core.HostID]time.Time{},
 		requests:               map[core.RequestID]*request{}, releases: map[releaseKey]*pendingRelease{}, rejections: map[rejectionKey]*pendingRelease{}, retryBuckets: map[core.PoolID]*retryBucket{}, leaving: map[core.UpstreamID]bool{}, emptyLists: map[core.PoolID]int{},
-		limitedPools: map[core.PoolID]bool{}, leftAlone: map[core.UpstreamID]time.Time{},
+		limitedPools: map[core.PoolID]bool{}, retryAfter: map[core.UpstreamID]time.Time{},
 	}
 	c.timers = ordered.Heap[*request]{Index: func(r *request) *int { return &r.heapIndex }, Less: dueEarlier}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
@@ -279,8 +279,8 @@
 		c.rejectLeaving(t, r, from, m)
 		return
 	}
-	if f := c.leftAloneFailure(t.Now, m.Prefill, m.Decode); f != nil {
-		c.rejectUnwanted(t, r, from, m, f)
+	if f := c.retryAfterFailure(t.Now, m.Prefill, m.Decode); f != nil {
+		c.rejectTooEarly(t, r, from, m, f)
 		return
 	}
 	r.grant = m
@@ -361,7 +361,7 @@
 		c.refuseQuarantined(t, r, f)
 		return
 	}
-	if f := c.leftAloneFailure(t.Now, r.grant.Decode); f != nil {
+	if f := c.retryAfterFailure(t.Now, r.grant.Decode); f != nil {
 		c.attemptFailed(t, r, f, r.grant.Decode)
 		return
 	}
--- a/core/entry/placement.go
+++ b/core/entry/placement.go
@@ -23,6 +23,8 @@
 func (c *component) sendPlacementRequest(t *core.Turn, r *request) {
 	r.dispatcher = c.requestDispatcher(r)
 	r.queued = false
+	// The attempt may get a placement at this dispatcher again, which a resent release would remove.
+	delete(c.rejections, rejectionKey{attempt: r.attemptID(), dispatcher: r.dispatcher.host})
 	r.resendAt = t.Now.Add(placementResendInterval)
 	if c.mayBypassDispatcher(r) {
 		r.resendAt = t.Now.Add(dispatcherTimeout)
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -40,15 +40,6 @@
 	return errors.Newf("more than %d interim responses", maxInterimResponses)
 }
 
-// HeaderValues returns all values of a header.
-func HeaderValues(h *fasthttp.ResponseHeader, name string) []string {
-	var values []string
-	for _, v := range h.PeekAll(name) {
-		values = append(values, string(v))
-	}
-	return values
-}
-
 // BodyLength returns the content length of a response as Body takes it. Responses to HEAD and those with status 204 or 304
 // have no body, whatever their header says.
 func BodyLength(h *fasthttp.ResponseHeader, toHead bool) int {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,6 +71,19 @@
 	}
 }
 
+// GetOther is like Get, but never returns a connection in used. It adds the one that it returns to used.
+func (p *Pool) GetOther(k Key, used *[]*PooledConn) (*PooledConn, error) {
+	c, err := p.Get(k)
+	if err == nil && slices.Contains(*used, c) {
+		_ = c.Close()
+		c, err = Dial(k)
+	}
+	if err == nil {
+		*used = append(*used, c)
+	}
+	return c, err
+}
+
 func (p *Pool) pop(k Key) *PooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/upstream/statement.go
+++ b/io/upstream/statement.go
@@ -6,7 +6,6 @@
 	"github.com/valyala/fasthttp"
 
 	"oleanderlever/core"
-	"oleanderlever/io/clock"
 	"oleanderlever/io/http1"
 )
 
@@ -18,11 +17,7 @@
 
 // Statement returns what an upstream says of itself in the header of a response that has just arrived.
 func Statement(id core.UpstreamID, h *fasthttp.ResponseHeader) *core.UpstreamStatement {
-	values := core.StatementValues{RateLimit: http1.HeaderValues(h, HeaderRateLimit), Leaving: http1.HeaderValues(h, HeaderLeaving)}
-	if h.StatusCode() == fasthttp.StatusServiceUnavailable {
-		values.RetryAfter = http1.HeaderValues(h, fasthttp.HeaderRetryAfter)
-	}
-	return core.NewUpstreamStatement(id, clock.Now(), values)
+	return http1.StatementHeaders{RateLimit: HeaderRateLimit, Leaving: HeaderLeaving}.Statement(id, h)
 }
 
 // Said is what a stand-in says of itself in its responses.
