--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -61,8 +62,12 @@
 // request is one client attempt.
 type request struct {
 	id, method, host, path string
-	body                   string
-	budget                 time.Duration
+	// headers are further header lines.
+	headers string
+	body    string
+	budget  time.Duration
+	// patience is how long the client waits for the answer to begin; zero means for its whole budget.
+	patience time.Duration
 }
 
 // answer is what the client saw of the answer to a request. err is set if the channel ended before the answer was complete.
@@ -79,9 +84,10 @@
 // send sends a request on the channel and reads its answer.
 func (c *channel) send(r request) answer {
 	start := time.Now()
-	_ = c.conn.SetDeadline(start.Add(r.budget))
+	_ = c.conn.SetDeadline(start.Add(cmp.Or(r.patience, r.budget)))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n",
 		r.method, r.path, r.host, r.id, r.budget.Milliseconds(), apiKey)
+	head += r.headers
 	if r.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
@@ -95,6 +101,7 @@
 		return a
 	}
 	a.status, a.seal = resp.StatusCode, resp.Header.Get("X-Response-Seal")
+	_ = c.conn.SetDeadline(start.Add(r.budget))
 	var n int64
 	n, a.err = io.Copy(io.Discard, resp.Body)
 	a.bytes, a.took = int(n), time.Since(start)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,9 +18,10 @@
 type scenario func(rec *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"drain-large-answer":  drainLargeAnswer,
-	"drain-slow-order":    drainSlowOrder,
-	"leave-after-restart": leaveAfterRestart,
+	"drain-large-answer":   drainLargeAnswer,
+	"drain-slow-order":     drainSlowOrder,
+	"leave-during-prefill": leaveDuringPrefill,
+	"leave-after-restart":  leaveAfterRestart,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -31,6 +31,8 @@
 	pick func() string
 	// respond answers a request that is run.
 	respond http.HandlerFunc
+	// stage is the stage of a model runner, empty for a plain service.
+	stage string
 
 	listener net.Listener
 	http     *http.Server
@@ -66,6 +68,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == "/order" && s.stage != "" {
+		s.order(w, r)
+		return
+	}
 	if id == "" {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusBadRequest)
@@ -97,6 +103,10 @@
 		"Service": s.service, "Address": s.addr, "Zone": "abdali", "Version": "v1", "Slots": 64, "State": state,
 		"ColdRemainingMs": 0, "Sequence": s.sequence, "born": s.born,
 	}
+	if s.stage != "" {
+		body["Stage"] = s.stage
+		body["Models"] = []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}}
+	}
 	s.mu.Unlock()
 	return s.call("/Instances.Heartbeat/"+s.id, body)
 }
