--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -163,6 +163,89 @@
 	return passedOn && a.err != nil && a.took < drainBudget && time.Since(stopped) < graceS+time.Second
 }
 
+const (
+	// longOrderWork keeps the only slot of the server busy until after the grace time.
+	longOrderWork = 12 * time.Second
+	// longTarget is the response-time goal of a route whose requests may wait for a free slot.
+	longTarget = 10 * time.Second
+	// longOrderLead and waitingLead are how long before the SIGTERM the order that runs and the one that waits are sent.
+	longOrderLead = 1500 * time.Millisecond
+	waitingLead   = 500 * time.Millisecond
+)
+
+// drainWaitingOrder stops a front machine with SIGTERM while an order waits there for a free slot.
+func drainWaitingOrder(rec *record, trouble bool) (bool, error) {
+	c, err := startCluster(rec, 1, 3)
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	controls := c.controls()
+	state := desiredState(1, "unsafe", drainBudget)
+	state["Routes"].([]any)[0].(map[string]any)["TargetLatencyMs"] = longTarget.Milliseconds()
+	if err := putConfig(rec, controls, state); err != nil {
+		return false, err
+	}
+	s, err := startServer(&server{
+		rec: rec, id: "i-7f3a91c2", service: service, addr: fmt.Sprintf("%s.80:%d", c.prefix, portServer), slots: 1,
+		pick: func() string { return controls[0] },
+		respond: func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("X-Request-Id")
+			rec.add("server: begins %s %s", r.URL.Path, id)
+			if r.URL.Path == routePath+"long" {
+				select {
+				case <-time.After(longOrderWork):
+				case <-r.Context().Done():
+					rec.add("server: the caller of %s is gone", id)
+				}
+			}
+			w.Header().Set("X-Response-Seal", "s."+id)
+			_, _ = w.Write([]byte("printed"))
+		},
+	})
+	if err != nil {
+		return false, err
+	}
+	defer s.close()
+	front := c.fronts[0]
+	if err := awaitReady(front, 20*time.Second); err != nil {
+		return false, err
+	}
+	var channels []*channel
+	for range 2 {
+		ch, err := openChannel(front, 0)
+		if err != nil {
+			return false, err
+		}
+		defer ch.close()
+		first := ch.send(request{id: newID(), method: http.MethodPost, host: hostName, path: routePath + "quick", budget: drainBudget})
+		rec.add("client: first answer on a kept channel: %v", first)
+		if first.err != nil || first.status != http.StatusOK {
+			return false, fmt.Errorf("a first request was not served")
+		}
+		channels = append(channels, ch)
+	}
+	time.Sleep(contactTime)
+	answers := make(chan answer, 1)
+	waiting := request{id: newID(), method: http.MethodPost, host: hostName, path: routePath + "order", body: "one card", budget: drainBudget}
+	go channels[0].send(request{id: newID(), method: http.MethodPost, host: hostName, path: routePath + "long", body: "many cards", budget: drainBudget})
+	time.Sleep(longOrderLead - waitingLead)
+	rec.add("client: sends %s, while the only slot is taken", waiting.id)
+	go func() { answers <- channels[1].send(waiting) }()
+	time.Sleep(waitingLead)
+	stopped := terminate(rec, front, trouble)
+	a := <-answers
+	rec.add("client: answer to %s: %v; %.3f s after the SIGTERM, of a grace time of %v", waiting.id, a, time.Since(stopped).Seconds(), graceS)
+	passedOn := slices.ContainsFunc(s.since(stopped.Add(-waitingLead)), func(arrived arrival) bool { return arrived.id == waiting.id })
+	rec.add("the order was passed on: %t", passedOn)
+	return a.err != nil && a.took > lossSlack && a.took < drainBudget && time.Since(stopped) < graceS+time.Second, nil
+}
+
+// lossSlack is LossSlackMs.
+const lossSlack = 200 * time.Millisecond
+
 // contactTime is ContactMs: how long a case is undisturbed before its planned work.
 const contactTime = 3 * time.Second
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 
 var scenarios = map[string]scenario{
 	"drain-large-answer":   drainLargeAnswer,
+	"drain-waiting-order":  drainWaitingOrder,
 	"drain-slow-order":     drainSlowOrder,
 	"leave-during-prefill": leaveDuringPrefill,
 	"leave-after-restart":  leaveAfterRestart,
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,7 +13,10 @@
 	"time"
 )
 
-const heartbeatInterval = 1200 * time.Millisecond
+const (
+	heartbeatInterval = 1200 * time.Millisecond
+	defaultSlots      = 64
+)
 
 // arrival is a request that reached a server.
 type arrival struct {
@@ -33,6 +37,8 @@
 	respond http.HandlerFunc
 	// stage is the stage of a model runner, empty for a plain service.
 	stage string
+	// slots is how many requests the server runs at once; zero stands for defaultSlots.
+	slots int
 
 	listener net.Listener
 	http     *http.Server
@@ -100,7 +106,7 @@
 	s.mu.Lock()
 	s.sequence++
 	body := map[string]any{
-		"Service": s.service, "Address": s.addr, "Zone": "abdali", "Version": "v1", "Slots": 64, "State": state,
+		"Service": s.service, "Address": s.addr, "Zone": "abdali", "Version": "v1", "Slots": cmp.Or(s.slots, defaultSlots), "State": state,
 		"ColdRemainingMs": 0, "Sequence": s.sequence, "born": s.born,
 	}
 	if s.stage != "" {
