--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -10,7 +10,7 @@
 const (
 	drainTimeout = 2 * time.Second
 	orderBudget  = 2500 * time.Millisecond
-	orderWork    = 15 * time.Millisecond
+	orderWork    = 300 * time.Millisecond
 	// orderGap is the mean time between two orders of all clients.
 	orderGap = 12 * time.Millisecond
 	// serverCount is the number of servers; one of them is less than the share that the site lets crash, and that it lets leave.
@@ -78,15 +78,19 @@
 	rec.add("server %s ends", boot.id)
 	time.Sleep(time.Second)
 	orders.stop()
-	late := 0
+	late, lost := 0, 0
 	for _, a := range boot.since(acked.Add(drainTimeout)) {
 		if sent, ok := orders.sentAt(a.id); ok && sent.After(acked.Add(drainTimeout)) {
 			late++
-			rec.add("order %s, sent %.3f s after the acknowledgement, reached the server that left", a.id, sent.Sub(acked).Seconds())
+			result := orders.result(a.id)
+			if result.err != nil || result.status != http.StatusOK {
+				lost++
+			}
+			rec.add("order %s, sent %.3f s after the acknowledgement, reached the server that left; its client: %v", a.id, sent.Sub(acked).Seconds(), result)
 		}
 	}
-	rec.add("%d orders, sent later than %v after the acknowledgement, reached the server that left; %d orders in all, %d without a success",
-		late, drainTimeout, orders.count(), orders.failures())
+	rec.add("%d orders, sent later than %v after the acknowledgement, reached the server that left, %d of them without a success; %d orders in all",
+		late, drainTimeout, lost, orders.count())
 	return late > 0, nil
 }
 
@@ -135,17 +139,20 @@
 	end  chan struct{}
 	done sync.WaitGroup
 
-	mu     sync.Mutex
-	sent   map[string]time.Time
-	failed int
+	mu      sync.Mutex
+	sent    map[string]time.Time
+	answers map[string]answer
 }
 
-const orderClients = 8
+const orderClients = 24
 
 func startOrders(rec *record, m *machine) *orders {
-	o := &orders{rec: rec, end: make(chan struct{}), sent: map[string]time.Time{}}
-	for range orderClients {
-		o.done.Go(func() { o.run(m) })
+	o := &orders{rec: rec, end: make(chan struct{}), sent: map[string]time.Time{}, answers: map[string]answer{}}
+	for i := range orderClients {
+		o.done.Go(func() {
+			time.Sleep(time.Duration(i) * (orderGap + orderWork/orderClients))
+			o.run(m)
+		})
 	}
 	return o
 }
@@ -170,10 +177,10 @@
 		o.sent[id] = time.Now()
 		o.mu.Unlock()
 		a := ch.send(request{id: id, method: http.MethodPost, host: hostName, path: routePath + "order", body: "one card", budget: orderBudget})
+		o.mu.Lock()
+		o.answers[id] = a
+		o.mu.Unlock()
 		if a.err != nil || a.status != http.StatusOK {
-			o.mu.Lock()
-			o.failed++
-			o.mu.Unlock()
 			o.rec.add("client: order %s: %v", id, a)
 			ch.close()
 			ch = nil
@@ -199,8 +206,9 @@
 	return len(o.sent)
 }
 
-func (o *orders) failures() int {
+// result returns the answer that the client of an order got.
+func (o *orders) result(id string) answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.failed
+	return o.answers[id]
 }
