--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -25,6 +25,12 @@
 	portServer  = 8080
 )
 
+// The machines of a small deployment; one of three front machines is less than the share that the site lets stop.
+const (
+	frontCount = 3
+	coreCount  = 3
+)
+
 // caseTimeout is the longest time that a case may take.
 const caseTimeout = 110 * time.Second
 
@@ -59,7 +65,7 @@
 }
 
 // startCluster starts core and front machines with the commands and the templates of the deploy file.
-func startCluster(rec *record, frontCount, coreCount int) (*cluster, error) {
+func startCluster(rec *record, fronts, cores int) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -72,10 +78,10 @@
 	if err != nil {
 		return c, err
 	}
-	for i := range coreCount {
+	for i := range cores {
 		c.cores = append(c.cores, &machine{ip: fmt.Sprintf("%s.%d", c.prefix, 10+i), role: roles["core"]})
 	}
-	for i := range frontCount {
+	for i := range fronts {
 		c.fronts = append(c.fronts, &machine{ip: fmt.Sprintf("%s.%d", c.prefix, 50+i), role: roles["front"]})
 	}
 	var seeds []string
@@ -100,7 +106,7 @@
 	for i := range 200 {
 		prefix := fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+i)%100, 1+(os.Getpid()/100+i)%200)
 		free := true
-		for _, last := range []int{10, 11, 12, 50, 80, 81, 82, 83, 84, 85, 86, 87} {
+		for _, last := range []int{10, 11, 12, 50, 51, 52, 80, 81, 82, 83, 84, 85, 86, 87} {
 			for _, port := range []int{portFront, portReady, portControl, portHosts, portMetrics, portServer} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", prefix, last, port))
 				if err != nil {
@@ -170,6 +176,7 @@
 	}
 	if isCore {
 		m.dataDir = filepath.Join(c.dir, m.ip)
+		f["Limits"] = fields{"CpuShare": 0.24, "Cores": 1, "MemoryMb": 280, "MaxFds": 4096, "LinkMbps": 1000.0, "DiskMb": 128}
 		f["DataDir"] = m.dataDir
 		f["Listen"] = fields{"Control": fmt.Sprintf("%s:%d", m.ip, portControl)}
 	} else {
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -42,7 +42,7 @@
 
 // drainLargeAnswer stops a front machine with SIGTERM while a client reads a large answer steadily on a slow line.
 func drainLargeAnswer(rec *record, trouble bool) (bool, error) {
-	c, err := startCluster(rec, 1, 3)
+	c, err := startCluster(rec, frontCount, coreCount)
 	if c != nil {
 		defer c.close()
 	}
@@ -104,7 +104,7 @@
 
 // drainSlowOrder stops a front machine with SIGTERM and sends it, before it ends, an order that takes some seconds.
 func drainSlowOrder(rec *record, trouble bool) (bool, error) {
-	c, err := startCluster(rec, 1, 3)
+	c, err := startCluster(rec, frontCount, coreCount)
 	if c != nil {
 		defer c.close()
 	}
@@ -175,7 +175,7 @@
 
 // drainWaitingOrder stops a front machine with SIGTERM while an order waits there for a free slot.
 func drainWaitingOrder(rec *record, trouble bool) (bool, error) {
-	c, err := startCluster(rec, 1, 3)
+	c, err := startCluster(rec, frontCount, coreCount)
 	if c != nil {
 		defer c.close()
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -39,13 +39,22 @@
 	return state
 }
 
+// handleTime is how long a prefill runner keeps what it has read.
+const handleTime = 500 * time.Millisecond
+
+// handle is a prompt that a prefill runner keeps.
+type handle struct {
+	id      string
+	expires time.Time
+}
+
 // engines is the memory that the model runners of a service move between each other.
 type engines struct {
 	rec *record
 
 	mu sync.Mutex
 	// handles has the prompts that prefill runners keep, by address and handle.
-	handles map[string]string
+	handles map[string]handle
 	// onPrefill is called when the prefill of a request begins and reports whether its runner goes dark.
 	onPrefill func(s *server, id string) bool
 	// onDecode is called when a request reaches a decode runner.
@@ -57,7 +66,12 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		prompt, output := tokenCounts(r)
 		id := r.Header.Get("X-Request-Id")
-		if r.Header.Get("X-Serving-Stage") == "prefill" {
+		isPrefill := r.Header.Get("X-Serving-Stage") == "prefill"
+		if isPrefill != (s.currentStage() == "prefill") {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if isPrefill {
 			e.prefill(s, w, r, id, prompt)
 			return
 		}
@@ -72,12 +86,12 @@
 		return
 	}
 	time.Sleep(time.Duration(prompt/prefillTokensPerMs) * time.Millisecond)
-	handle := fmt.Sprintf("%012x", rand.Uint64()>>16)
+	name := fmt.Sprintf("%012x", rand.Uint64()>>16)
 	e.mu.Lock()
-	e.handles[s.addr+"/"+handle] = id
+	e.handles[s.addr+"/"+name] = handle{id: id, expires: time.Now().Add(handleTime)}
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"KvHandle":%q,"Tokens":%d,"Version":1}`, handle, prompt)
+	_, _ = fmt.Fprintf(w, `{"KvHandle":%q,"Tokens":%d,"Version":1}`, name, prompt)
 }
 
 func (e *engines) decode(s *server, w http.ResponseWriter, r *http.Request, id string, prompt, output int) {
@@ -86,10 +100,10 @@
 	e.onDecode(s, id)
 	if source != "" {
 		e.mu.Lock()
-		owner := e.handles[source]
+		kept := e.handles[source]
 		delete(e.handles, source)
 		e.mu.Unlock()
-		if owner == "" {
+		if time.Now().After(kept.expires) {
 			w.Header().Set("X-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -119,18 +133,45 @@
 	return prompt, output
 }
 
-// order accepts an order that changes the stage of a model runner.
+// order carries out an order that changes the stage of a model runner.
 func (s *server) order(w http.ResponseWriter, r *http.Request) {
-	var body struct{ Operation, Stage, Holder string }
-	if json.NewDecoder(r.Body).Decode(&body) != nil || body.Operation != "Stage" || body.Holder == "" {
+	var body struct {
+		Operation, Stage, Holder string
+		FencingToken             uint64
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil || body.Operation != "Stage" || body.Holder == "" || body.FencingToken == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.rec.add("server %s is ordered to change its stage to %s", s.id, body.Stage)
-	w.WriteHeader(http.StatusAccepted)
+	status := s.acceptOrder(body.Stage, body.FencingToken)
+	s.rec.add("server %s is ordered by %s (fence %d) to change its stage to %s: %d", s.id, body.Holder, body.FencingToken, body.Stage, status)
+	w.WriteHeader(status)
+}
+
+func (s *server) acceptOrder(stage string, fence uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case fence < s.fence:
+		return http.StatusPreconditionFailed
+	case s.switching:
+		return http.StatusConflict
+	}
+	s.fence = fence
+	if stage == s.stage {
+		return http.StatusOK
+	}
+	s.switching = true
 	time.AfterFunc(switchTime, func() {
 		s.mu.Lock()
-		s.stage = body.Stage
-		s.mu.Unlock()
+		defer s.mu.Unlock()
+		s.stage, s.switching = stage, false
 	})
+	return http.StatusAccepted
+}
+
+func (s *server) currentStage() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage
 }
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -26,7 +26,7 @@
 // leaveAfterRestart lets a server crash, start again under its Id and, some seconds later, leave with a deregistration first, as
 // some servers do. A server holds to the control address that it picked until it starts or leaves.
 func leaveAfterRestart(rec *record, trouble bool) (bool, error) {
-	c, err := startCluster(rec, 1, 3)
+	c, err := startCluster(rec, frontCount, coreCount)
 	if c != nil {
 		defer c.close()
 	}
--- a/review/standin/prefill.go
+++ b/review/standin/prefill.go
@@ -16,6 +16,8 @@
 	decodeCount  = 5
 	// leaveDelay is how long after the prefill has begun the decode runner says that it leaves.
 	leaveDelay = 200 * time.Millisecond
+	// darkTime is how long a runner stays dark.
+	darkTime = 4500 * time.Millisecond
 	// patience is how long a client waits for a stream's first event: four times the objective.
 	patience = 3600 * time.Millisecond
 )
@@ -23,7 +25,7 @@
 // leaveDuringPrefill lets a prefill runner go dark while it reads a prompt, and the decode runner that is to go on with the
 // request leave at that time.
 func leaveDuringPrefill(rec *record, trouble bool) (bool, error) {
-	c, err := startCluster(rec, 1, 3)
+	c, err := startCluster(rec, frontCount, coreCount)
 	if c != nil {
 		defer c.close()
 	}
@@ -35,7 +37,8 @@
 		return false, err
 	}
 	p := &prefillCase{rec: rec, busy: map[string]bool{}, begun: make(chan struct{}), decoded: make(chan time.Time, 1)}
-	e := &engines{rec: rec, handles: map[string]string{}, onPrefill: func(s *server, id string) bool { return p.onPrefill(s, id, trouble) }, onDecode: p.onDecode}
+	e := &engines{rec: rec, handles: map[string]handle{}, onPrefill: func(s *server, id string) bool { return p.onPrefill(s, id, trouble) }, onDecode: p.onDecode}
+	p.engines = e
 	var decoders []*server
 	for i := range prefillCount + decodeCount {
 		s := &server{
@@ -104,6 +107,7 @@
 // prefillCase follows the requests of leaveDuringPrefill.
 type prefillCase struct {
 	rec     *record
+	engines *engines
 	begun   chan struct{}
 	decoded chan time.Time
 
@@ -124,11 +128,24 @@
 	p.dark = true
 	if trouble {
 		p.rec.add("server %s goes dark", s.id)
-		s.stopOnce.Do(func() { close(s.stop) })
+		s.goDark()
+		time.AfterFunc(darkTime, func() { p.restart(s) })
 	}
 	return trouble
 }
 
+// restart ends a dark runner and starts it again under a new Id.
+func (p *prefillCase) restart(old *server) {
+	old.close()
+	s := &server{rec: p.rec, id: old.id + "-2", service: old.service, stage: "prefill", addr: old.addr, pick: old.pick}
+	s.respond = p.engines.model(s)
+	if _, err := startServer(s); err != nil {
+		p.rec.add("server %s can't start again: %v", old.id, err)
+		return
+	}
+	p.rec.add("server %s starts again as %s", old.id, s.id)
+}
+
 func (p *prefillCase) onDecode(s *server, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -48,6 +48,11 @@
 	mu       sync.Mutex
 	sequence int
 	arrivals []arrival
+	// isDark is true once the server answers nothing any more.
+	isDark bool
+	// switching is true while an order is carried out; fence is the highest fence number of an order.
+	switching bool
+	fence     uint64
 }
 
 // startServer listens, registers the server and goes on with its heartbeats.
@@ -64,6 +69,10 @@
 }
 
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
+	if s.dark() {
+		<-r.Context().Done()
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Instance-Id", s.id)
 	if id != "" {
@@ -83,6 +92,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.isSwitching() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id: id, at: time.Now()})
@@ -90,6 +104,26 @@
 	s.respond(w, r)
 }
 
+// goDark makes the server silent: it answers nothing and sends no heartbeats.
+func (s *server) goDark() {
+	s.mu.Lock()
+	s.isDark = true
+	s.mu.Unlock()
+	s.stopOnce.Do(func() { close(s.stop) })
+}
+
+func (s *server) dark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDark
+}
+
+func (s *server) isSwitching() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.switching
+}
+
 // heartbeats sends heartbeats until the server ends.
 func (s *server) heartbeats() {
 	for {
