core/entry: a waiting request is refused before its host ends

Cause: nothing in the kernel knew when the host ends. A waiting request's timer was its deadline or its next resend. The same holds for waits for quota and for an idempotency key, and for streams that wait for an engine.

Change: LameDuck and Draining carry the end of the host. A waiting request has a latest start and is refused as not executed then; one whose deadline is earlier keeps its deadline.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -47,6 +47,7 @@
 	retryAfter map[core.UpstreamID]time.Time
 	// streamsUntil is when a lame duck host stops accepting streams.
 	streamsUntil time.Time
+	shutdown     shutdown
 	// hasUpstreams is true while at least one upstream is available.
 	hasUpstreams bool
 	// activeAttemptsAt is when the dispatchers are next sent this host's active attempts; zero means not scheduled.
@@ -137,9 +138,11 @@
 		c.quarantineChanged(t, e.PromptParts)
 	case core.LameDuck:
 		c.lameDuck, c.streamsUntil = true, e.StreamsUntil
+		c.shutDown(e.EndsAt, e.StreamsUntil)
 		c.publishState(t)
 	case core.Draining:
 		c.draining = true
+		c.shutDown(e.EndsAt, midpoint(t.Now, e.EndsAt))
 		c.publishState(t)
 		c.checkDrained(t)
 	case core.Tick:
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -128,11 +128,12 @@
 	}
 }
 
-// cancelWaiting refuses a request that waits for quota or placement.
+// cancelWaiting refuses a request that waits for quota, its idempotency key or placement.
 func (c *component) cancelWaiting(t *core.Turn, r *request, f *core.Failure) {
-	if r.stage == stageQuota {
+	switch r.stage {
+	case stageQuota:
 		t.Post(core.CancelQuota{Request: r.ID, Account: r.account.ID})
-	} else {
+	case stagePlacement:
 		c.sendRelease(t, r, core.PlacementRelease{})
 	}
 	c.refuse(t, r, f)
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -182,9 +182,14 @@
 func (c *component) schedule(r *request) {
 	switch r.stage {
 	case stageQuota:
-		r.dueAt = r.Deadline
+		r.dueAt = core.Earlier(r.Deadline, c.latestStart(r))
+	case stageIdempotency:
+		if r.dueAt = c.latestStart(r); r.dueAt.IsZero() {
+			c.timers.Remove(r)
+			return
+		}
 	case stagePlacement:
-		r.dueAt = core.Earlier(r.Deadline, r.resendAt)
+		r.dueAt = core.Earlier(core.Earlier(r.Deadline, r.resendAt), c.latestStart(r))
 	case stagePrefill, stageDecode, stageCall:
 		if !r.route.EndToEndTimeout {
 			c.timers.Remove(r)
@@ -222,6 +227,10 @@
 		c.cancelWaiting(t, r, f)
 		return
 	}
+	if core.Due(c.latestStart(r), t.Now) {
+		c.refuseTooLate(t, r)
+		return
+	}
 	if c.mayBypassDispatcher(r) && !r.queued {
 		c.bypassDispatcher(t, r)
 		return
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -30,11 +30,12 @@
 func routedConfig() *core.Config {
 	d := &core.Document{
 		Revision: 1,
-		Accounts: []core.Account{{ID: "a", Weight: 1, Unlimited: true}},
-		Keys:     []core.APIKey{{ID: "k", Account: "a", Hash: core.KeyHash{1}}},
+		Accounts: []core.Account{{ID: "a", Weight: 1, Unlimited: true}, {ID: "limited", Weight: 1, Rate: 1, Burst: 1, RequestCost: 1}},
+		Keys:     []core.APIKey{{ID: "k", Account: "a", Hash: core.KeyHash{1}}, {ID: "k2", Account: "limited", Hash: core.KeyHash{2}}},
 		Pools:    []core.Pool{{ID: "service"}, {ID: "engine", Engine: &core.Engine{Slots: 8, KVCacheTokens: 10_000, KVBlockTokens: 16}}},
 		Routes: []core.Route{
 			{Name: "call", Host: "h", Path: "/call/", Pool: "service", Timeout: 800 * time.Millisecond, EndToEndTimeout: true, MaxAttempts: 1, LatencyTarget: 100 * time.Millisecond},
+			{Name: "call-long", Host: "h", Path: "/call-long/", Pool: "service", Timeout: 14 * time.Second, EndToEndTimeout: true, MaxAttempts: 1, LatencyTarget: 10 * time.Second},
 			{Name: "call-two-attempts", Host: "h", Path: "/call-two-attempts/", Pool: "service", Timeout: 800 * time.Millisecond, EndToEndTimeout: true, MaxAttempts: 2, LatencyTarget: 100 * time.Millisecond},
 			{Name: "call-idempotent", Host: "h", Path: "/call-idempotent/", Pool: "service", Timeout: 800 * time.Millisecond, EndToEndTimeout: true, MaxAttempts: 2, Idempotent: true, LatencyTarget: 100 * time.Millisecond},
 			{Name: "stream-resumable", Host: "h", Path: "/stream-resumable/", Pool: "engine", Timeout: 14 * time.Second, EndToEndTimeout: true, MaxAttempts: 2, Streaming: true, Resumable: true, LatencyTarget: 900 * time.Millisecond},
--- a/core/request.go
+++ b/core/request.go
@@ -183,10 +183,12 @@
 
 // LameDuck is the event that the host will shut down soon: it reports that it is not ready but still accepts requests
 // from callers that have not noticed. Streams are refused from StreamsUntil on because they would not end in time.
-type LameDuck struct{ StreamsUntil time.Time }
+// EndsAt is when the host ends at the latest; zero means no limit.
+type LameDuck struct{ StreamsUntil, EndsAt time.Time }
 
-// Draining is the event that the host begins a graceful shutdown.
-type Draining struct{}
+// Draining is the event that the host begins a graceful shutdown and refuses new requests. EndsAt is when the host ends
+// at the latest; zero means no limit.
+type Draining struct{ EndsAt time.Time }
 
 // Drained is both an event and an action: a host that is shutting down has no requests left.
 type Drained struct{}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -199,20 +199,31 @@
 // Drain shuts down gracefully: after the lame duck period it refuses new requests, and it returns when the running ones
 // are complete or the context ends.
 func (d *Daemon) Drain(ctx context.Context) {
+	endsAt := endOf(ctx)
 	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
-		d.host.Loop.Post(core.LameDuck{StreamsUntil: clock.Now().Add(d.host.Settings.Requests.StreamingLameDuck.Duration)})
+		streamsUntil := clock.Now().Add(d.host.Settings.Requests.StreamingLameDuck.Duration)
+		d.host.Loop.Post(core.LameDuck{StreamsUntil: streamsUntil, EndsAt: endsAt})
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
-	d.host.Loop.Post(core.Draining{})
+	d.host.Loop.Post(core.Draining{EndsAt: endsAt})
 	select {
 	case <-d.drained:
 	case <-ctx.Done():
 	}
 }
 
+// endOf returns the deadline of a context on the host's clock, or zero if it has none.
+func endOf(ctx context.Context) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Time{}
+	}
+	return clock.Now().Add(time.Until(deadline))
+}
+
 // SeedsChanged replaces the kernel's seeds.
 func (d *Daemon) SeedsChanged(seeds []netip.AddrPort) {
 	d.host.Loop.Post(core.SeedsChanged{Seeds: seeds})
