core/entry: a host that shuts down accepts only what it can complete

Cause: a host that shuts down accepted every call for 4 s, whatever its route's timeout; only streams were checked. A call that may take 14 s was taken when 3.9 s were left.

Change: a request is accepted if its deadline is before the end of the host. Others are accepted only in the first 2.8 s (streamsDuck, which had this meaning for streams), and only if requests of their pool usually end in time: the 0.95 quantile of the pool's last durations. The same figure extends or shortens how long a waiting request may still be started. Later ones get a true 503 at once and go to another host, which costs their caller a round trip; a cut order costs the knowledge whether it was executed.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -45,9 +45,9 @@
 	leaving map[core.UpstreamID]bool
 	// retryAfter has the time until which an upstream wants no request from this host.
 	retryAfter map[core.UpstreamID]time.Time
-	// streamsUntil is when a lame duck host stops accepting streams.
-	streamsUntil time.Time
-	shutdown     shutdown
+	shutdown   shutdown
+	// durations are those of the last requests of each pool.
+	durations map[core.PoolID]*durations
 	// hasUpstreams is true while at least one upstream is available.
 	hasUpstreams bool
 	// activeAttemptsAt is when the dispatchers are next sent this host's active attempts; zero means not scheduled.
@@ -76,7 +76,7 @@
 		dataCentre: env.DataCentre, dispatchers: dispatch.NewDispatcherSelector(env), retryPolicy: env.RetryBudget,
 		dispatcherBackoffUntil: map[core.HostID]time.Time{},
 		requests:               map[core.RequestID]*request{}, releases: map[releaseKey]*pendingRelease{}, rejections: map[rejectionKey]*pendingRelease{}, retryBuckets: map[core.PoolID]*retryBucket{}, leaving: map[core.UpstreamID]bool{}, emptyLists: map[core.PoolID]int{},
-		limitedPools: map[core.PoolID]bool{}, retryAfter: map[core.UpstreamID]time.Time{},
+		limitedPools: map[core.PoolID]bool{}, retryAfter: map[core.UpstreamID]time.Time{}, durations: map[core.PoolID]*durations{},
 	}
 	c.timers = ordered.Heap[*request]{Index: func(r *request) *int { return &r.heapIndex }, Less: dueEarlier}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
@@ -137,8 +137,8 @@
 	case core.QuarantineChanged:
 		c.quarantineChanged(t, e.PromptParts)
 	case core.LameDuck:
-		c.lameDuck, c.streamsUntil = true, e.StreamsUntil
-		c.shutDown(e.EndsAt, e.StreamsUntil)
+		c.lameDuck = true
+		c.shutDown(e.EndsAt, e.LongUntil)
 		c.publishState(t)
 	case core.Draining:
 		c.draining = true
@@ -193,8 +193,9 @@
 // start admits a request that arrived at the given time and asks for its quota, or refuses it.
 func (c *component) start(t *core.Turn, r core.Request, arrived time.Time) {
 	a, f := c.admit(t, &r, arrived)
-	if f == nil && c.lameDuck && a.route.Streaming && !t.Now.Before(c.streamsUntil) {
-		f = core.Fail(core.KindNotReady, "the host is shutting down")
+	rq := &request{Request: r, admission: a, stage: stageQuota, arrivedAt: arrived, heapIndex: -1}
+	if f == nil && !c.accepts(rq, t.Now) {
+		f = core.Fail(core.KindNotReady, "the host is shutting down and could end before the response is complete")
 	}
 	if f == nil {
 		f = c.quarantineFailure(&r)
@@ -207,7 +208,6 @@
 		t.Emit(core.RefuseRequest{Request: r.ID, Failure: f})
 		return
 	}
-	rq := &request{Request: r, admission: a, stage: stageQuota, arrivedAt: arrived, heapIndex: -1}
 	rq.recordKey = recordKey(&a, &r)
 	t.LogDecision(core.Decision{
 		Component: "entry", Choice: "admit", Reason: "permitted by the configuration", Request: r.ID, Account: a.account.ID,
@@ -287,6 +287,9 @@
 		return
 	}
 	r.grant = m
+	if r.startedAt.IsZero() {
+		r.startedAt = t.Now
+	}
 	r.dispatcher.host = from
 	c.timers.Remove(r)
 	if r.unary {
@@ -496,6 +499,7 @@
 const maxRetryWaitDivisor = 3
 
 func (c *component) finish(t *core.Turn, r *request) {
+	c.recordDuration(r, t.Now)
 	c.retryBucketOf(r.pool).earn(c.retryPolicy, c.maxEntryHosts)
 	t.LogDecision(core.Decision{
 		Component: "entry", Choice: "finish", Reason: "the response is complete", Request: r.ID, Attempt: r.placement.Attempt.Number,
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -218,6 +218,7 @@
 		return
 	}
 	if r.stage > stagePlacement {
+		c.recordDuration(r, t.Now)
 		c.abort(t, r, core.Fail(core.KindDeadlineExceeded, "the deadline passed before the response was complete"))
 		return
 	}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -86,6 +86,8 @@
 	// crashesAtStart counts the attempts whose engine crashed when the response began.
 	crashesAtStart int
 	arrivedAt      time.Time
+	// startedAt is when the first attempt was started.
+	startedAt time.Time
 	// decodeStartedAt is when the attempt's decode started; firstTokenLatency is the time from then to its first token.
 	decodeStartedAt   time.Time
 	firstTokenLatency time.Duration
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -469,7 +469,7 @@
 
 func TestLameDuckAcceptsWhatCanStillFinish(t *testing.T) {
 	h := newTestHost(t, defaultRetryPolicy)
-	h.step(core.LameDuck{StreamsUntil: h.now.Add(2 * time.Second)})
+	h.step(core.LameDuck{LongUntil: h.now.Add(2 * time.Second), EndsAt: h.now.Add(shutdownTime)})
 	published := actionsOf[core.PublishState](h)
 	require.True(t, published[len(published)-1].Draining)
 	h.submit("s1", "/stream/1")
--- a/core/entry/shutdown.go
+++ b/core/entry/shutdown.go
@@ -10,11 +10,12 @@
 type shutdown struct {
 	// endsAt is when the host ends at the latest.
 	endsAt time.Time
-	// longUntil is when the host stops starting requests that may not be complete at endsAt.
+	// longUntil is when the host stops accepting requests that may not be complete at endsAt, and starting those of which
+	// it is not known how long they take.
 	longUntil time.Time
 }
 
-// shutDown sets the end of the host and when it stops starting long requests; zero times change nothing. The end only
+// shutDown sets the end of the host and when it stops accepting long requests; zero times change nothing. The end only
 // moves to an earlier time.
 func (c *component) shutDown(endsAt, longUntil time.Time) {
 	c.shutdown.endsAt = core.Earlier(c.shutdown.endsAt, endsAt)
@@ -32,30 +33,51 @@
 	}
 }
 
+// midpoint returns the time halfway between now and end, or zero without an end. A host that was not a lame duck before
+// starts long requests until then.
+func midpoint(now, end time.Time) time.Time {
+	if end.IsZero() {
+		return time.Time{}
+	}
+	return now.Add(end.Sub(now) / 2)
+}
+
+// accepts reports whether a host that may be shutting down accepts a request. One that may take longer than the host
+// has left is accepted only while callers may not have noticed, and if requests of its pool usually end in time: a
+// caller whose request is refused can use another host at once, whereas one whose request is cut does not know whether it
+// was executed.
+func (c *component) accepts(r *request, now time.Time) bool {
+	end := c.shutdown.endsAt
+	return end.IsZero() || now.Before(r.lastSafeStart(end)) ||
+		(now.Before(c.shutdown.longUntil) && now.Before(c.latestStart(r)))
+}
+
 // latestStart returns until when a waiting request may be sent to an upstream; zero means that only its deadline limits
 // it. A request that started later could be cut when the host ends, whereas its caller can send it to another host once
 // it is refused.
 func (c *component) latestStart(r *request) time.Time {
 	end := c.shutdown.endsAt
-	switch {
-	case end.IsZero(), r.mayHaveRun:
+	if end.IsZero() || r.mayHaveRun {
 		// After an attempt, the request cannot be refused as not executed; it continues while there is time.
 		return end
-	case r.route.EndToEndTimeout && !r.Deadline.IsZero() && !r.Deadline.After(end):
-		return end
-	case r.unary && !r.route.EndToEndTimeout && r.route.Timeout > 0:
-		return later(c.shutdown.longUntil, end.Add(-r.route.Timeout))
 	}
-	return core.Earlier(c.shutdown.longUntil, end)
+	limit := c.shutdown.longUntil
+	if expected, ok := c.durations[r.pool].expected(); ok {
+		limit = end.Add(-expected)
+	}
+	return later(limit, r.lastSafeStart(end))
 }
 
-// midpoint returns the time halfway between now and end, or zero without an end. A host that was not a lame duck before
-// starts long requests until then.
-func midpoint(now, end time.Time) time.Time {
-	if end.IsZero() {
-		return time.Time{}
+// lastSafeStart returns until when the request can be started so that it has its response at end, however long its
+// upstream takes; zero means that there is no such time.
+func (r *request) lastSafeStart(end time.Time) time.Time {
+	switch {
+	case r.route.EndToEndTimeout && !r.Deadline.After(end):
+		return end
+	case r.unary && !r.route.EndToEndTimeout:
+		return end.Add(-r.route.Timeout)
 	}
-	return now.Add(end.Sub(now) / 2)
+	return time.Time{}
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/entry/shutdown_test.go
+++ b/core/entry/shutdown_test.go
@@ -19,7 +19,7 @@
 
 // shutDown announces the end of the host, as after a SIGTERM.
 func (h *testHost) shutDown() {
-	h.step(core.LameDuck{StreamsUntil: h.now.Add(lameDuckTime), EndsAt: h.now.Add(shutdownTime)})
+	h.step(core.LameDuck{LongUntil: h.now.Add(lameDuckTime), EndsAt: h.now.Add(shutdownTime)})
 }
 
 // Guards against a request that is closed without a response when its host ends while it waits: for quota, for its
@@ -59,3 +59,56 @@
 	require.Len(t, actionsOf[core.RunCall](h), serviceSlots, "a refused call was sent")
 	require.Len(t, actionsOf[core.RunDecode](h), 2, "a refused stream was sent")
 }
+
+// Guards against a call that a host accepts late in its shutdown and cuts when it ends: the caller of an order would not
+// know whether it was executed. Calls whose timeout ends before the host are accepted all the time.
+func TestLateCallIsAcceptedOnlyIfItsTimeoutEndsBeforeTheHost(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	h.shutDown()
+	h.advance(time.Second)
+	h.submit("early", "/call-long/1")
+	require.Nil(t, h.refusal("early"), "most calls that start now end in time")
+	h.advance(2500 * time.Millisecond)
+	h.submit("late", "/call-long/1")
+	require.NotNil(t, h.refusal("late"))
+	require.Equal(t, core.KindNotReady, h.refusal("late").Kind)
+	require.True(t, h.refusal("late").NotExecuted)
+	h.submit("short", "/call/1")
+	require.Nil(t, h.refusal("short"))
+	require.Len(t, actionsOf[core.RunCall](h), 2)
+}
+
+// A host that is shutting down knows how long the calls of a pool have taken. It refuses at once what would not end in
+// time, and lets a call wait for a slot as long as it can still be executed.
+func TestMeasuredDurationsLimitTheStartOfLongCalls(t *testing.T) {
+	serve := func(h *testHost, calls int, duration time.Duration) {
+		for n := range calls {
+			id := core.RequestID(fmt.Sprint("served", n))
+			h.submit(id, "/call-long/1")
+			h.advance(duration)
+			h.step(core.CallEnded{Attempt: core.AttemptID{Request: id, Number: 1}, Response: core.StoredResponse{Status: 200}})
+		}
+	}
+	h := newTestHost(t, defaultRetryPolicy)
+	serve(h, 30, 6*time.Second)
+	h.shutDown()
+	h.advance(time.Second)
+	h.submit("fits", "/call-long/1")
+	require.Nil(t, h.refusal("fits"))
+	h.advance(500 * time.Millisecond)
+	h.submit("slow", "/call-long/1")
+	require.NotNil(t, h.refusal("slow"), "a call of 6 s would be cut after 5.9 s")
+
+	h = newTestHost(t, defaultRetryPolicy)
+	serve(h, 30, time.Second)
+	for n := range serviceSlots {
+		h.submit(core.RequestID(fmt.Sprint("running", n)), "/call-long/1")
+	}
+	h.submit("waiting", "/call-long/1")
+	started := len(actionsOf[core.RunCall](h))
+	h.shutDown()
+	h.advance(6 * time.Second)
+	require.Nil(t, h.refusal("waiting"))
+	h.step(core.CallEnded{Attempt: core.AttemptID{Request: "running0", Number: 1}, Response: core.StoredResponse{Status: 200}})
+	require.Len(t, actionsOf[core.RunCall](h), started+1)
+}
--- a/core/request.go
+++ b/core/request.go
@@ -182,9 +182,9 @@
 }
 
 // LameDuck is the event that the host will shut down soon: it reports that it is not ready but still accepts requests
-// from callers that have not noticed. Streams are refused from StreamsUntil on because they would not end in time.
-// EndsAt is when the host ends at the latest; zero means no limit.
-type LameDuck struct{ StreamsUntil, EndsAt time.Time }
+// from callers that have not noticed. EndsAt is when the host ends at the latest; zero means no limit. Requests whose
+// response may come after EndsAt are refused from LongUntil on.
+type LameDuck struct{ LongUntil, EndsAt time.Time }
 
 // Draining is the event that the host begins a graceful shutdown and refuses new requests. EndsAt is when the host ends
 // at the latest; zero means no limit.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -201,8 +201,8 @@
 func (d *Daemon) Drain(ctx context.Context) {
 	endsAt := endOf(ctx)
 	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
-		streamsUntil := clock.Now().Add(d.host.Settings.Requests.StreamingLameDuck.Duration)
-		d.host.Loop.Post(core.LameDuck{StreamsUntil: streamsUntil, EndsAt: endsAt})
+		longUntil := clock.Now().Add(d.host.Settings.Requests.LongLameDuck.Duration)
+		d.host.Loop.Post(core.LameDuck{LongUntil: longUntil, EndsAt: endsAt})
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -170,8 +170,8 @@
 	DrainTimeout Duration `toml:"drainTimeout"`
 	// LameDuck is how long a host that shuts down still accepts requests while it reports that it is not ready.
 	LameDuck Duration `toml:"lameDuck"`
-	// StreamingLameDuck is the same limit for streaming requests, which may need longer to complete.
-	StreamingLameDuck Duration `toml:"streamsDuck"`
+	// LongLameDuck is the same limit for requests that may not be complete when the host ends, among them most streams.
+	LongLameDuck Duration `toml:"streamsDuck"`
 }
 
 // Default values of optional settings, and limits.
