io/control, platform, io/caller: a host ends once its responses are written

Cause: the kernel reports that it has drained when it has decided the end of its last request. The process then exited without waiting for the goroutines that write the responses.

Change: peers have a Drain function that waits until the responses are written or the time is over. control.Active, a generic container that can be waited on, replaces the map of Exchanges and holds the busy connections of our own interface.

--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -42,6 +42,8 @@
 
 	// exchanges are the requests in progress.
 	exchanges *control.Exchanges
+	// busyConns are the connections with a request that is read, in progress or not yet responded to in full.
+	busyConns *control.Active[net.Conn, struct{}]
 }
 
 func open(h *control.Host) (control.Instance, error) {
@@ -55,6 +57,7 @@
 	s := &server{
 		loop: h.Loop, client: upstream.NewClient(h.Settings.Credentials.UpstreamSecret, h.Bodies), settings: h.Settings, log: h.Log,
 		bootID: newBootID(h.Settings.Host), exchanges: control.NewExchanges(),
+		busyConns: control.NewActive[net.Conn, struct{}](),
 	}
 	s.state.Store(&core.PublishState{Config: &core.Config{}})
 	httpServer := s.newHTTPServer()
@@ -63,6 +66,7 @@
 			go func() { _ = httpServer.Serve(socket.WatchedListener{Listener: l, WriteTimeout: stallTimeout}) }()
 		},
 		Perform: s.perform,
+		Drain:   s.busyConns.Wait,
 		Close: func() {
 			_ = l.Close()
 			_ = httpServer.Shutdown()
@@ -75,10 +79,18 @@
 		Handler: s.handle, ErrorHandler: s.handleError, StreamRequestBody: true,
 		MaxRequestBodySize: s.settings.Requests.MaxBodyBytes, ReadTimeout: s.settings.Requests.ReadTimeout.Duration,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true,
+		DisablePreParseMultipartForm: true, ConnState: s.connStateChanged,
 	}
 }
 
+func (s *server) connStateChanged(conn net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateActive {
+		s.busyConns.Add(conn, struct{}{})
+		return
+	}
+	s.busyConns.Remove(conn)
+}
+
 // newBootID returns a prefix for request IDs that no earlier start of the same host has used.
 func newBootID(host string) string {
 	var b [bootIDBytes]byte
--- a/io/control/exchanges.go
+++ b/io/control/exchanges.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"sync"
+	"context"
 
 	"oleanderlever/core"
 )
@@ -25,30 +25,20 @@
 
 // Exchanges passes the core's actions to the requests in progress, by request ID.
 type Exchanges struct {
-	mu        sync.Mutex
-	byRequest map[core.RequestID]*Exchange
+	active *Active[core.RequestID, *Exchange]
 }
 
 // NewExchanges returns Exchanges without any request.
-func NewExchanges() *Exchanges { return &Exchanges{byRequest: map[core.RequestID]*Exchange{}} }
+func NewExchanges() *Exchanges { return &Exchanges{active: NewActive[core.RequestID, *Exchange]()} }
 
 // Add adds a request. It returns false if a request with this ID is in progress.
-func (e *Exchanges) Add(id core.RequestID, x *Exchange) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.byRequest[id] != nil {
-		return false
-	}
-	e.byRequest[id] = x
-	return true
-}
+func (e *Exchanges) Add(id core.RequestID, x *Exchange) bool { return e.active.Add(id, x) }
 
 // Remove removes a request; later actions for it are ignored.
-func (e *Exchanges) Remove(id core.RequestID) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.byRequest, id)
-}
+func (e *Exchanges) Remove(id core.RequestID) { e.active.Remove(id) }
+
+// Wait waits until no request is in progress or the context ends.
+func (e *Exchanges) Wait(ctx context.Context) { e.active.Wait(ctx) }
 
 // Perform passes an action to its request and ignores actions that belong to no request in progress. It returns false
 // if the request's instruction buffer is full, which is a bug.
@@ -67,22 +57,16 @@
 	case core.RefuseRequest:
 		return e.send(a.Request, a)
 	case core.AbortAttempt:
-		if x := e.get(a.Attempt.Request); x != nil && x.Abort != nil {
+		if x, ok := e.active.Get(a.Attempt.Request); ok && x.Abort != nil {
 			x.Abort(a.Attempt)
 		}
 	}
 	return true
 }
 
-func (e *Exchanges) get(id core.RequestID) *Exchange {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.byRequest[id]
-}
-
 func (e *Exchanges) send(id core.RequestID, a core.Action) bool {
-	x := e.get(id)
-	if x == nil {
+	x, ok := e.active.Get(id)
+	if !ok {
 		return true
 	}
 	select {
--- a/io/control/peer.go
+++ b/io/control/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -42,6 +43,8 @@
 	// Perform performs an action if it belongs to this peer and ignores others. It is called on the control goroutine and
 	// must not block.
 	Perform func(a core.Action)
+	// Drain waits until the responses to all requests that the kernel has finished are written, or the context ends.
+	Drain func(ctx context.Context)
 	// Close stops the peer and closes its files and ports.
 	Close func()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -197,7 +197,7 @@
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
 
 // Drain shuts down gracefully: after the lame duck period it refuses new requests, and it returns when the running ones
-// are complete or the context ends.
+// are complete and their responses are written, or when the context ends.
 func (d *Daemon) Drain(ctx context.Context) {
 	endsAt := endOf(ctx)
 	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
@@ -213,6 +213,11 @@
 	case <-d.drained:
 	case <-ctx.Done():
 	}
+	for _, i := range d.instances {
+		if i.Drain != nil {
+			i.Drain(ctx)
+		}
+	}
 }
 
 // endOf returns the deadline of a context on the host's clock, or zero if it has none.
