core/entry, io/daemon: running requests are answered when their host ends

On our own interface, moreover, an attempt could not be aborted, so its caller could not be answered before the upstream responded.

Change: at the end of the host the kernel aborts what runs and answers "outcome unknown" (502); a complete response whose record is not yet stored is delivered. The host has 400 ms of its 600 ms margin to write these responses. A second signal brings the end forward. upstream.Client.ForAttempt registers the connection of an attempt so that it can be aborted.

Evidence: without it TestRunningRequestIsAnsweredWhenTheHostEnds, TestSecondSignalAnswersAllRequests and TestRunningCallIsAnsweredWhenTheHostEnds (platform; io/daemon without the abort) fail.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -463,6 +463,7 @@
 		return
 	}
 	r.stage = stageRecord
+	c.schedule(r)
 	t.Post(core.RecordOutcome{Request: r.ID, Key: r.recordKey, ContentHash: r.ContentHash, Attempt: r.recordAttempt(), State: core.IdempotencyDone, Response: e.Response})
 }
 
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -177,26 +177,25 @@
 	})
 }
 
-// schedule sets the request's timer for its current stage, or removes it if the stage has no timeout or the traffic
-// goroutines enforce it.
+// schedule sets the request's timer for its current stage, or removes it if nothing limits the stage or the traffic
+// goroutines enforce its limit.
 func (c *component) schedule(r *request) {
 	switch r.stage {
 	case stageQuota:
 		r.dueAt = core.Earlier(r.Deadline, c.latestStart(r))
 	case stageIdempotency:
-		if r.dueAt = c.latestStart(r); r.dueAt.IsZero() {
-			c.timers.Remove(r)
-			return
-		}
+		r.dueAt = c.latestStart(r)
 	case stagePlacement:
 		r.dueAt = core.Earlier(core.Earlier(r.Deadline, r.resendAt), c.latestStart(r))
 	case stagePrefill, stageDecode, stageCall:
-		if !r.route.EndToEndTimeout {
-			c.timers.Remove(r)
-			return
+		r.dueAt = c.shutdown.endsAt
+		if r.route.EndToEndTimeout {
+			r.dueAt = core.Earlier(r.dueAt, r.Deadline)
 		}
-		r.dueAt = r.Deadline
 	default:
+		r.dueAt = c.shutdown.endsAt
+	}
+	if r.dueAt.IsZero() {
 		c.timers.Remove(r)
 		return
 	}
@@ -218,8 +217,7 @@
 		return
 	}
 	if r.stage > stagePlacement {
-		c.recordDuration(r, t.Now)
-		c.abort(t, r, core.Fail(core.KindDeadlineExceeded, "the deadline passed before the response was complete"))
+		c.stopRunning(t, r)
 		return
 	}
 	if core.Due(r.Deadline, t.Now) {
--- a/core/entry/shutdown.go
+++ b/core/entry/shutdown.go
@@ -93,3 +93,17 @@
 	f.NotExecuted = !r.mayHaveRun
 	c.cancelWaiting(t, r, f)
 }
+
+// stopRunning ends a request whose deadline has passed or whose host ends while an attempt runs or its outcome is
+// recorded. Its caller learns that the outcome is unknown; a response that is complete is delivered.
+func (c *component) stopRunning(t *core.Turn, r *request) {
+	switch {
+	case r.stage == stageRecord:
+		c.finish(t, r)
+	case r.route.EndToEndTimeout && core.Due(r.Deadline, t.Now):
+		c.recordDuration(r, t.Now)
+		c.abort(t, r, core.Fail(core.KindDeadlineExceeded, "the deadline passed before the response was complete"))
+	default:
+		c.abort(t, r, core.Fail(core.KindOutcomeUnknown, "the host ends before the response is complete"))
+	}
+}
--- a/core/entry/shutdown_test.go
+++ b/core/entry/shutdown_test.go
@@ -112,3 +112,45 @@
 	h.step(core.CallEnded{Attempt: core.AttemptID{Request: "running0", Number: 1}, Response: core.StoredResponse{Status: 200}})
 	require.Len(t, actionsOf[core.RunCall](h), started+1)
 }
+
+// Guards against a running request whose caller gets no response when its host ends: it learns that the outcome is
+// unknown, and the attempt is aborted. A complete response whose record is not yet stored is delivered.
+func TestRunningRequestIsAnsweredWhenTheHostEnds(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	h.step(core.RequestArrived{Request: core.Request{
+		ID: "recorded", Host: "h", Path: "/call-long/1", KeyHash: core.KeyHash{1}, HasKey: true, IdempotencyKey: "order-1", Deadline: h.now.Add(14 * time.Second),
+	}})
+	h.step(core.IdempotencyKeyAcquired{Request: "recorded"})
+	h.submit("call", "/call-long/1")
+	h.submit("stream", "/stream/1")
+	h.step(core.CallEnded{Attempt: core.AttemptID{Request: "recorded", Number: 1}, Response: core.StoredResponse{Status: 200}})
+	h.shutDown()
+	h.advance(4 * time.Second)
+	h.step(core.Draining{EndsAt: h.now.Add(shutdownTime - 4*time.Second)})
+	h.advance(shutdownTime - 4*time.Second)
+	for _, id := range []core.RequestID{"call", "stream"} {
+		require.NotNil(t, h.refusal(id), id)
+		require.Equal(t, core.KindOutcomeUnknown, h.refusal(id).Kind)
+		require.False(t, h.refusal(id).NotExecuted)
+		require.Contains(t, actionsOf[core.AbortAttempt](h), core.AbortAttempt{Attempt: core.AttemptID{Request: id, Number: 1}})
+	}
+	require.Contains(t, actionsOf[core.FinishRequest](h), core.FinishRequest{Request: "recorded"})
+	require.Len(t, actionsOf[core.Drained](h), 1)
+}
+
+// An end that is brought forward, as by a second signal, ends all requests at once.
+func TestSecondSignalAnswersAllRequests(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	for n := range serviceSlots {
+		h.submit(core.RequestID(fmt.Sprint("running", n)), "/call-long/1")
+	}
+	h.submit("waiting", "/call-long/1")
+	h.shutDown()
+	h.step(core.Draining{EndsAt: h.now})
+	h.advance(time.Millisecond)
+	require.True(t, h.refusal("waiting").NotExecuted)
+	for n := range serviceSlots {
+		require.Equal(t, core.KindOutcomeUnknown, h.refusal(core.RequestID(fmt.Sprint("running", n))).Kind)
+	}
+	require.Len(t, actionsOf[core.Drained](h), 1)
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,6 +10,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/control"
 	"oleanderlever/io/http1"
+	"oleanderlever/io/links"
 	"oleanderlever/io/upstream"
 )
 
@@ -31,8 +32,10 @@
 	// controlSide delivers the core's instructions. response receives exactly one value, as soon as the first byte of the
 	// response is known. ended is closed when run returns.
 	controlSide *control.Exchange
-	response    chan response
-	ended       chan struct{}
+	// active is the connection of the attempt in progress.
+	active   links.ActiveConn
+	response chan response
+	ended    chan struct{}
 
 	model           *modelRequestBody
 	encoder         responseEncoder
@@ -75,7 +78,7 @@
 
 func (x *exchange) prefill(a core.RunPrefill) {
 	request := &upstream.PrefillRequest{Upstream: a.UpstreamID, Attempt: a.Attempt.String(), Epoch: a.Epoch, Body: x.body, Generated: x.outputText.String(), PrefixHashes: a.PrefixHashes}
-	resp, f := x.client.Prefill(a.Addr, request, a.Timeout)
+	resp, f := x.client.ForAttempt(a.Attempt.Number, &x.active).Prefill(a.Addr, request, a.Timeout)
 	x.loop.Post(core.PrefillEnded{
 		Attempt: a.Attempt, KV: core.KVRef{Addr: a.Addr, Handle: resp.Handle},
 		PromptTokens: resp.PromptTokens, Failure: f, Statement: resp.Statement,
@@ -88,7 +91,7 @@
 		Generated: x.outputText.String(), Offset: x.outputTokens, MaxTokens: a.MaxTokens, Resume: a.Resume,
 	}
 	first := x.outputTokens == 0
-	result := x.client.Decode(a.Addr, request, a.TokenTimeout, upstream.DecodeCallbacks{
+	result := x.client.ForAttempt(a.Attempt.Number, &x.active).Decode(a.Addr, request, a.TokenTimeout, upstream.DecodeCallbacks{
 		OnStart: func(s *core.UpstreamStatement) {
 			x.loop.TryPost(core.StreamStarted{Attempt: a.Attempt, Statement: s})
 		},
@@ -131,7 +134,7 @@
 
 func (x *exchange) callService(a core.RunCall) {
 	x.serviceResponse = fasthttp.AcquireResponse()
-	f := x.client.Call(a.Addr, a.Attempt, x.serviceRequest, x.serviceResponse, a.Timeout, a.NewConnection, x.memory)
+	f := x.client.ForAttempt(a.Attempt.Number, &x.active).Call(a.Addr, a.Attempt, x.serviceRequest, x.serviceResponse, a.Timeout, a.NewConnection, x.memory)
 	ended := core.CallEnded{Attempt: a.Attempt, Failure: f}
 	if f == nil {
 		ended.Response = storedResponse(x.serviceResponse)
@@ -196,8 +199,10 @@
 }
 
 func newExchange(id core.RequestID, loop *control.Loop, client *upstream.Client, memory *http1.MemoryLease) *exchange {
-	return &exchange{
+	x := &exchange{
 		id: id, loop: loop, client: client, memory: memory, encoder: responseEncoder{id: id, created: time.Now()},
 		controlSide: control.NewExchange(), response: make(chan response, 1), ended: make(chan struct{}),
 	}
+	x.controlSide.Abort = func(a core.AttemptID) { x.active.Abort(a.Number) }
+	return x
 }
--- a/io/console/host.go
+++ b/io/console/host.go
@@ -27,12 +27,13 @@
 	// heapLimitRatio is the part of the memory limit that is the garbage collector's soft limit.
 	heapLimitRatio = 0.7
 	megabyte       = 1 << 20
-	// shutdownMargin is the part of the drain timeout that is reserved for closing the host after draining, before the
-	// platform kills the process.
+	// shutdownMargin is the part of the drain timeout that is reserved for refusing the requests that are left and closing
+	// the host, before the platform kills the process.
 	shutdownMargin = 600 * time.Millisecond
 )
 
-// Execute runs a host until SIGINT or SIGTERM. The first signal drains the host, a second one stops it immediately.
+// Execute runs a host until SIGINT or SIGTERM. The first signal drains the host; after a second one it refuses all
+// requests that are left and ends.
 func (c *hostCommand) Execute([]string) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -197,7 +197,8 @@
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
 
 // Drain shuts down gracefully: after the lame duck period it refuses new requests, and it returns when the running ones
-// are complete and their responses are written, or when the context ends.
+// are complete and their responses are written. When the context ends, all requests that are left are refused, and it
+// returns once their callers have been told, or after closeTimeout.
 func (d *Daemon) Drain(ctx context.Context) {
 	endsAt := endOf(ctx)
 	if wait := d.host.Settings.Requests.LameDuck.Duration; wait > 0 {
@@ -209,6 +210,21 @@
 		}
 	}
 	d.host.Loop.Post(core.Draining{EndsAt: endsAt})
+	d.waitDrained(ctx)
+	if ctx.Err() == nil {
+		return
+	}
+	d.host.Loop.Post(core.Draining{EndsAt: clock.Now()})
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	d.waitDrained(closing)
+}
+
+// closeTimeout limits the writing of the responses to the requests that are refused when a shutdown ends.
+const closeTimeout = 400 * time.Millisecond
+
+// waitDrained waits until no request is left and all responses are written, or the context ends.
+func (d *Daemon) waitDrained(ctx context.Context) {
 	select {
 	case <-d.drained:
 	case <-ctx.Done():
--- a/io/daemon/shutdown_test.go
+++ b/io/daemon/shutdown_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"oleanderlever/core"
+	"oleanderlever/io/operator"
 	"oleanderlever/io/upstream"
 )
 
@@ -25,6 +26,8 @@
 	smallBufferBytes = 16 << 10
 	// unreadTime is how long the caller leaves its response unread once the host has no request left.
 	unreadTime = 300 * time.Millisecond
+	// shortDrain ends long before the timeout of the routes that the tests use.
+	shortDrain = 200 * time.Millisecond
 )
 
 // announceService announces an upstream of the pool of the route /orders with the given handler.
@@ -46,14 +49,14 @@
 	})
 }
 
-// order sends an order on a new connection and does not read the response.
-func (s *system) order() net.Conn {
+// order sends an order to a path on a new connection and does not read the response.
+func (s *system) order(path string) net.Conn {
 	conn, err := net.Dial("tcp", s.Settings[0].Listen.Callers.String())
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(s.t, conn.(*net.TCPConn).SetReadBuffer(smallBufferBytes))
 	require.NoError(s.t, conn.SetDeadline(time.Now().Add(testTimeout)))
-	_, err = fmt.Fprintf(conn, "POST /orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", s.key)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", path, s.key)
 	require.NoError(s.t, err)
 	return conn
 }
@@ -79,7 +82,7 @@
 			_, _ = io.WriteString(w, strings.Repeat("a", largeBodyBytes))
 		}
 	})
-	reader := bufio.NewReader(s.order())
+	reader := bufio.NewReader(s.order("/orders"))
 	response, err := http.ReadResponse(reader, nil)
 	require.NoError(t, err)
 	ended := s.drain(testTimeout)
@@ -94,3 +97,27 @@
 	require.EqualValues(t, largeBodyBytes, n)
 	<-ended
 }
+
+// Guards against a caller of our own interface without a response when its host ends while an upstream works on the call.
+func TestRunningCallIsAnsweredWhenTheHostEnds(t *testing.T) {
+	s := startSystem(t, 1, t.TempDir())
+	s.configure()
+	s.change(&operator.Change{Change: &operator.Change_PutRoute{PutRoute: &operator.Route{Name: "large-orders", Path: "/large-orders", Pool: "order-desk", TimeoutMillis: 600_000}}})
+	started, release := make(chan struct{}), make(chan struct{})
+	s.announceService(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large-orders" {
+			close(started)
+			<-release
+		}
+	})
+	t.Cleanup(func() { close(release) })
+	conn := s.order("/large-orders")
+	<-started
+	ended := s.drain(shortDrain)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(text), core.KindOutcomeUnknown.String())
+	<-ended
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -26,6 +26,9 @@
 	secret   string
 	connPool *links.Pool
 	bodies   *http1.MemoryBudget
+	// attempt is the number of the attempt whose connection active holds; active is nil if attempts can't be aborted.
+	attempt int
+	active  *links.ActiveConn
 }
 
 // NewClient returns a client that authenticates its requests with the secret. Bodies count against the budget, which is
@@ -34,6 +37,14 @@
 	return &Client{secret: secret, connPool: links.New(), bodies: bodies}
 }
 
+// ForAttempt returns a client with the same connections for one attempt; aborting the attempt at active closes the connection
+// that it uses.
+func (c *Client) ForAttempt(attempt int, active *links.ActiveConn) *Client {
+	bound := *c
+	bound.attempt, bound.active = attempt, active
+	return &bound
+}
+
 // reply is a response whose header has been read.
 type reply struct {
 	conn   *links.PooledConn
@@ -60,6 +71,10 @@
 	if err != nil {
 		return nil, &core.Failure{Kind: core.KindUpstreamFailed, Message: err.Error(), NotExecuted: true}
 	}
+	if c.active != nil && !c.active.Set(c.attempt, conn) {
+		_ = conn.Close()
+		return nil, &core.Failure{Kind: core.KindUpstreamFailed, Message: "the attempt was aborted", NotExecuted: true}
+	}
 	r.conn = conn
 	if err := r.exchange(req, timeout); err != nil {
 		_ = conn.Close()
@@ -95,6 +110,9 @@
 
 // release returns the connection of a completely read response to the pool, or closes it.
 func (c *Client) release(r *reply) {
+	if c.active != nil {
+		c.active.Clear()
+	}
 	if r.closeConn {
 		_ = r.conn.Close()
 		return
