io/console, io/caller: a drain by an operator waits for the responses

After a drain over the operator API the process ended as soon as the kernel had no request left. On our own interface closing the server then waited for the callers, without a limit, so that one that did not read kept the process up for 30 s after its drain timeout; on the platform's protocol nothing waited, and a response that was being written was cut.

Change: both ways to the end of the process go through Daemon.Drain, which waits for the responses up to the drain timeout; closing the server of our own interface then waits for 200 ms at most.

--- a/cmd/oleanderlever/endless_test.go
+++ b/cmd/oleanderlever/endless_test.go
@@ -33,7 +33,7 @@
 // A host must not run out of memory when many upstreams send responses without end, and must serve other requests
 // meanwhile: its memory stays under half its limit.
 func TestEndlessResponsesKeepMemoryAndService(t *testing.T) {
-	s := startSingleHost(t)
+	s := startSingleHost(t, memoryMB)
 	h := s.hosts[0]
 	responses := append(faulty.Responses(""), faulty.Endless{
 		Name: "body of 15 MiB", Start: "HTTP/1.1 200 OK\r\nContent-Length: 15728640\r\n\r\n", Repeat: "a",
@@ -83,8 +83,8 @@
 	require.Equal(t, tries, good, "other requests served")
 }
 
-// startSingleHost starts one host that is its own replica set.
-func startSingleHost(t *testing.T) *system {
+// startSingleHost starts one host that is its own replica set, with a memory limit in MiB.
+func startSingleHost(t *testing.T, memory int) *system {
 	h := &host{name: "h1", callers: freeAddr(t), upstreams: freeAddr(t), hosts: freeAddr(t), operatorAddr: freeAddr(t)}
 	h.dataDir = filepath.Join(t.TempDir(), "data")
 	s := &system{t: t, binary: buildBinary(t), hosts: []*host{h}}
@@ -101,7 +101,7 @@
 upstreams = %q
 hosts = %q
 operators = %q
-`, h.dataDir, memoryMB, h.callers, h.upstreams, h.hosts, h.operatorAddr)
+`, h.dataDir, memory, h.callers, h.upstreams, h.hosts, h.operatorAddr)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	s.start(h)
 	t.Cleanup(func() {
--- a/io/caller/peer.go
+++ b/io/caller/peer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"net"
@@ -25,6 +26,9 @@
 	idleTimeout = 2 * time.Minute
 	// stallTimeout is how long a caller may read nothing of a response before its connection is closed.
 	stallTimeout = 30 * time.Second
+	// closeTimeout is how long the server waits for requests in progress when it is closed. They have been completed or
+	// refused by then, unless their callers do not read.
+	closeTimeout = 200 * time.Millisecond
 	bootIDBytes  = 6
 )
 
@@ -69,7 +73,11 @@
 		Drain:   s.busyConns.Wait,
 		Close: func() {
 			_ = l.Close()
-			_ = httpServer.Shutdown()
+			ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+			defer cancel()
+			if err := httpServer.ShutdownWithContext(ctx); err != nil {
+				h.Log.Warn().Err(err).Msg("connections of callers were closed with a request in progress")
+			}
 		},
 	}, nil
 }
--- a/io/console/host.go
+++ b/io/console/host.go
@@ -63,9 +63,8 @@
 	defer d.Close()
 	w := watcher{path: c.Settings, daemon: d, log: log}
 	w.fileChanged(true)
-	if w.waitForStop(stopSignals, reloadSignals) {
-		drain(d, s, log, stopSignals)
-	}
+	w.waitForStop(stopSignals, reloadSignals)
+	drain(d, s, log, stopSignals)
 	log.Info().Msg("host ended")
 	return nil
 }
@@ -95,16 +94,16 @@
 	size    int64
 }
 
-// waitForStop watches the file until a stop signal or until the host has drained. It returns true after a signal.
-func (w *watcher) waitForStop(stopSignals, reloadSignals <-chan os.Signal) bool {
+// waitForStop watches the file until a stop signal, or until the host has no request left after a drain by an operator.
+func (w *watcher) waitForStop(stopSignals, reloadSignals <-chan os.Signal) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-w.daemon.Drained():
-			return false
+			return
 		case <-stopSignals:
-			return true
+			return
 		case <-reloadSignals:
 			w.reload("signal")
 		case <-ticker.C:
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -206,6 +206,7 @@
 		d.host.Loop.Post(core.LameDuck{LongUntil: longUntil, EndsAt: endsAt})
 		select {
 		case <-time.After(wait):
+		case <-d.drained:
 		case <-ctx.Done():
 		}
 	}
