core/entry: long requests are accepted in the first half of a short shutdown

Change: a host stops accepting long requests halfway to its end at the latest. This also replaces the separate rule for hosts that are no lame ducks.

Evidence: TestShortShutdownStopsAcceptingLongCallsHalfway panicked before for want of a refusal.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -138,11 +138,11 @@
 		c.quarantineChanged(t, e.PromptParts)
 	case core.LameDuck:
 		c.lameDuck = true
-		c.shutDown(e.EndsAt, e.LongUntil)
+		c.shutDown(t.Now, e.EndsAt, e.LongUntil)
 		c.publishState(t)
 	case core.Draining:
 		c.draining = true
-		c.shutDown(e.EndsAt, midpoint(t.Now, e.EndsAt))
+		c.shutDown(t.Now, e.EndsAt, time.Time{})
 		c.publishState(t)
 		c.checkDrained(t)
 	case core.Tick:
--- a/core/entry/shutdown.go
+++ b/core/entry/shutdown.go
@@ -15,17 +15,19 @@
 	longUntil time.Time
 }
 
-// shutDown sets the end of the host and when it stops accepting long requests; zero times change nothing. The end only
-// moves to an earlier time.
-func (c *component) shutDown(endsAt, longUntil time.Time) {
-	c.shutdown.endsAt = core.Earlier(c.shutdown.endsAt, endsAt)
-	c.shutdown.longUntil = core.Earlier(c.shutdown.longUntil, longUntil)
-	if c.shutdown.endsAt.IsZero() {
+// shutDown sets the end of the host and when it stops accepting long requests, at the latest halfway to its end; zero
+// times change nothing. Both only move to earlier times.
+func (c *component) shutDown(now, endsAt, longUntil time.Time) {
+	s := &c.shutdown
+	s.endsAt = core.Earlier(s.endsAt, endsAt)
+	if s.endsAt.IsZero() {
 		return
 	}
+	halfway := now.Add(s.endsAt.Sub(now) / 2)
+	s.longUntil = core.Earlier(core.Earlier(s.longUntil, longUntil), halfway)
 	for _, r := range c.requests {
 		if r.stage == stageConfig {
-			r.dueAt = core.Earlier(r.dueAt, c.shutdown.endsAt)
+			r.dueAt = core.Earlier(r.dueAt, s.endsAt)
 			c.timers.Fix(r)
 			continue
 		}
@@ -33,15 +35,6 @@
 	}
 }
 
-// midpoint returns the time halfway between now and end, or zero without an end. A host that was not a lame duck before
-// starts long requests until then.
-func midpoint(now, end time.Time) time.Time {
-	if end.IsZero() {
-		return time.Time{}
-	}
-	return now.Add(end.Sub(now) / 2)
-}
-
 // accepts reports whether a host that may be shutting down accepts a request. One that may take longer than the host
 // has left is accepted only while callers may not have noticed, and if requests of its pool usually end in time: a
 // caller whose request is refused can use another host at once, whereas one whose request is cut does not know whether it
--- a/core/entry/shutdown_test.go
+++ b/core/entry/shutdown_test.go
@@ -154,3 +154,16 @@
 	}
 	require.Len(t, actionsOf[core.Drained](h), 1)
 }
+
+// Guards against long calls that are accepted up to the end of a host that has less time than the lame duck period.
+func TestShortShutdownStopsAcceptingLongCallsHalfway(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	h.step(core.LameDuck{LongUntil: h.now.Add(lameDuckTime), EndsAt: h.now.Add(2 * time.Second)})
+	h.submit("early", "/call-long/1")
+	h.advance(1100 * time.Millisecond)
+	h.submit("late", "/call-long/1")
+	h.submit("short", "/call/1")
+	require.Nil(t, h.refusal("early"))
+	require.True(t, h.refusal("late").NotExecuted)
+	require.Nil(t, h.refusal("short"))
+}
