--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -230,6 +230,11 @@
 		c.refuseTooLate(t, r)
 		return
 	}
+	if r.stage != stagePlacement || !core.Due(r.resendAt, t.Now) {
+		// The latest start has moved, since durations were measured after the timer was set.
+		c.schedule(r)
+		return
+	}
 	if c.mayBypassDispatcher(r) && !r.queued {
 		c.bypassDispatcher(t, r)
 		return
--- a/core/entry/shutdown_test.go
+++ b/core/entry/shutdown_test.go
@@ -167,3 +167,29 @@
 	require.True(t, h.refusal("late").NotExecuted)
 	require.Nil(t, h.refusal("short"))
 }
+
+// A request whose timer fires at its latest start keeps waiting if durations that were measured since allow it.
+func TestLatestStartMovesWithMeasuredDurations(t *testing.T) {
+	h := newTestHost(t, defaultRetryPolicy)
+	call := func(id core.RequestID, duration time.Duration) {
+		h.submit(id, "/call-long/1")
+		h.advance(duration)
+		h.step(core.CallEnded{Attempt: core.AttemptID{Request: id, Number: 1}, Response: core.StoredResponse{Status: 200}})
+	}
+	for n := range 64 {
+		call(core.RequestID(fmt.Sprint("slow", n)), 5*time.Second)
+	}
+	h.step(core.RequestArrived{Request: core.Request{
+		ID: "quota", Host: "h", Path: "/call-long/1", KeyHash: core.KeyHash{2}, HasKey: true, Deadline: h.now.Add(14 * time.Second),
+	}})
+	h.shutDown()
+	for n := range 64 {
+		call(core.RequestID(fmt.Sprint("quick", n)), 10*time.Millisecond)
+	}
+	h.advance(5 * time.Second)
+	require.Nil(t, h.refusal("quota"), "it can still be served")
+	h.step(core.QuotaAcquired{Request: "quota"})
+	calls := actionsOf[core.RunCall](h)
+	require.Equal(t, core.RequestID("quota"), calls[len(calls)-1].Attempt.Request)
+	require.Equal(t, 1, calls[len(calls)-1].Attempt.Number)
+}
