--- a/cmd/oleanderlever/endless_test.go
+++ b/cmd/oleanderlever/endless_test.go
@@ -83,8 +83,8 @@
 	require.Equal(t, tries, good, "other requests served")
 }
 
-// startSingleHost starts one host that is its own replica set, with a memory limit in MiB.
-func startSingleHost(t *testing.T, memory int) *system {
+// startSingleHost starts one host that is its own replica set, with a memory limit in MiB and further tables of settings.
+func startSingleHost(t *testing.T, memory int, tables ...string) *system {
 	h := &host{name: "h1", callers: freeAddr(t), upstreams: freeAddr(t), hosts: freeAddr(t), operatorAddr: freeAddr(t)}
 	h.dataDir = filepath.Join(t.TempDir(), "data")
 	s := &system{t: t, binary: buildBinary(t), hosts: []*host{h}}
@@ -101,7 +101,8 @@
 upstreams = %q
 hosts = %q
 operators = %q
-`, h.dataDir, memory, h.callers, h.upstreams, h.hosts, h.operatorAddr)
+%s
+`, h.dataDir, memory, h.callers, h.upstreams, h.hosts, h.operatorAddr, strings.Join(tables, "\n"))
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	s.start(h)
 	t.Cleanup(func() {
