--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -86,8 +86,22 @@
 	return fmt.Sprintf("%s%d", p.prefix, p.last)
 }
 
-// startFleet starts core machines and fronts for the first time, as the platform does. Three core machines are the seeds.
+// startFleet starts core machines and fronts for the first time, as the platform does.
 func startFleet(cores, fronts int) (*fleet, error) {
+	f, err := newFleet(cores, fronts)
+	if err != nil {
+		return f, err
+	}
+	for _, m := range f.all() {
+		if err := f.start(m, true); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// newFleet returns machines that are not started. Three core machines are the seeds.
+func newFleet(cores, fronts int) (*fleet, error) {
 	ips, err := newIPPool()
 	if err != nil {
 		return nil, err
@@ -103,14 +117,18 @@
 	for i := range fronts {
 		f.fronts = append(f.fronts, &machine{name: fmt.Sprintf("front-%d", i+1), ip: ips.next()})
 	}
-	for _, m := range f.all() {
-		if err := f.start(m, true); err != nil {
-			return f, err
-		}
-	}
 	return f, nil
 }
 
+// addCore adds a core machine at a new address.
+func (f *fleet) addCore(name string) *machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := &machine{name: name, ip: f.ips.next(), isCore: true}
+	f.cores = append(f.cores, m)
+	return m
+}
+
 func (f *fleet) all() []*machine { return append(append([]*machine{}, f.cores...), f.fronts...) }
 
 func (f *fleet) seeds() []string {
@@ -122,6 +140,15 @@
 	return seeds
 }
 
+// control returns the control addresses.
+func (f *fleet) control() []string {
+	var addrs []string
+	for _, m := range f.cores {
+		addrs = append(addrs, fmt.Sprintf("%s:%d", m.ip, controlPort))
+	}
+	return addrs
+}
+
 // start writes a machine's settings and starts its process.
 func (f *fleet) start(m *machine, bootstrap bool) error {
 	dataDir := ""
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -34,6 +34,8 @@
 
 var scenarios = map[string]func(*scenario) error{
 	"6": playPreempted,
+	"7": playHead,
+	"8": playLostSeed,
 }
 
 func main() {
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,9 +11,8 @@
 )
 
 const (
-	heartbeatPause = 1200 * time.Millisecond
-	seal           = "3e1b.07.5a2.600.0.c9f2a4d1"
-	blockTokens    = 16
+	seal        = "3e1b.07.5a2.600.0.c9f2a4d1"
+	blockTokens = 16
 )
 
 // runner is a stand-in for a model runner of the stage decode. Its requests run in one batch, an event a step, and share its
@@ -24,7 +21,6 @@
 	id       string
 	service  string
 	addr     string
-	born     int64
 	slots    int
 	kvTokens int
 	queueCap int
@@ -71,10 +67,10 @@
 	if err != nil {
 		return err
 	}
-	r.born, r.history, r.stopped = time.Now().UnixMilli(), map[string][]*modelRun{}, make(chan struct{})
+	r.history, r.stopped = map[string][]*modelRun{}, make(chan struct{})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(l) }()
-	go r.heartbeats()
+	go announce(&announcement{id: r.id, service: r.service, addr: r.addr, stage: "decode", slots: r.slots, control: r.control}, r.stopped)
 	go r.steps()
 	return nil
 }
@@ -84,33 +80,6 @@
 	_ = r.server.Close()
 }
 
-// heartbeats announces the runner to one control address at a time.
-func (r *runner) heartbeats() {
-	client := &http.Client{Timeout: time.Second}
-	for sequence, at := 1, 0; ; sequence++ {
-		body, _ := json.Marshal(map[string]any{
-			"Service": r.service, "Address": r.addr, "Zone": zone, "Version": "v1", "Slots": r.slots, "State": "ready",
-			"ColdRemainingMs": 0, "Stage": "decode", "Sequence": sequence, "born": r.born,
-			"Models": []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}},
-		})
-		for range r.control {
-			response, err := client.Post("http://"+r.control[at%len(r.control)]+"/Instances.Heartbeat/"+r.id, "application/json", bytes.NewReader(body))
-			if err == nil {
-				_ = response.Body.Close()
-				if response.StatusCode/100 == 2 {
-					break
-				}
-			}
-			at++
-		}
-		select {
-		case <-time.After(heartbeatPause):
-		case <-r.stopped:
-			return
-		}
-	}
-}
-
 // steps makes an event for each running request at each step.
 func (r *runner) steps() {
 	ticker := time.NewTicker(r.step)
