--- a/review/standin2/case6.go
+++ b/review/standin2/case6.go
@@ -113,15 +113,11 @@
 }
 
 func (s *scenario) startRunners(outputOf func(string) int) ([]*runner, error) {
-	var control []string
-	for _, m := range s.fleet.cores {
-		control = append(control, fmt.Sprintf("%s:%d", m.ip, controlPort))
-	}
 	var runners []*runner
 	for i := range streamRunners {
 		r := &runner{
 			id: fmt.Sprintf("i-7f3a91c%d", i), service: streamService, addr: fmt.Sprintf("%s:%d", s.fleet.ips.next(), runnerPort),
-			slots: runnerSlots, kvTokens: kvTokens, queueCap: runnerQueue, step: eventPause, read: readTime, control: control,
+			slots: runnerSlots, kvTokens: kvTokens, queueCap: runnerQueue, step: eventPause, read: readTime, control: s.fleet.control(),
 			outputOf: outputOf, record: s.record,
 		}
 		if err := r.start(); err != nil {
