--- a/review/standin2/case7.go
+++ b/review/standin2/case7.go
@@ -26,7 +26,7 @@
 // playHead has clients send a HEAD request of a route and then an order on the same channel, before and after the operator has
 // removed the route.
 func playHead(s *scenario) error {
-	runners, err := s.startOrderService()
+	runners, err := s.startOrderService(orderDocument(1, true, orderTimeout), serviceBytes)
 	defer func() {
 		for _, r := range runners {
 			r.stop()
@@ -38,7 +38,7 @@
 	broken := 0
 	for i := range headChannels {
 		if i == siteFronts && s.trouble {
-			if err := s.fleet.putConfig(orderDocument(2, false), readyWait); err != nil {
+			if err := s.fleet.putConfig(orderDocument(2, false, orderTimeout), readyWait); err != nil {
 				return err
 			}
 			s.record.line("the desired state without the route %s is acknowledged", lookupPrefix)
@@ -59,7 +59,7 @@
 }
 
 // startOrderService starts the machines and the runners of a plain service, and waits until routes lead there.
-func (s *scenario) startOrderService() ([]*serviceRunner, error) {
+func (s *scenario) startOrderService(document string, answerBytes int) ([]*serviceRunner, error) {
 	var err error
 	if s.fleet, err = startFleet(siteCores, siteFronts); err != nil {
 		return nil, err
@@ -68,14 +68,14 @@
 	for i := range orderRunners {
 		r := &serviceRunner{
 			id: fmt.Sprintf("i-02d9e6b%d", i), service: orderService, addr: fmt.Sprintf("%s:%d", s.fleet.ips.next(), runnerPort),
-			control: s.fleet.control(), record: s.record,
+			control: s.fleet.control(), record: s.record, answerBytes: answerBytes,
 		}
 		if err := r.start(); err != nil {
 			return runners, err
 		}
 		runners = append(runners, r)
 	}
-	if err := s.fleet.putConfig(orderDocument(1, true), readyWait); err != nil {
+	if err := s.fleet.putConfig(document, readyWait); err != nil {
 		return runners, err
 	}
 	if err := s.fleet.waitReady(); err != nil {
@@ -85,10 +85,10 @@
 	return runners, nil
 }
 
-func orderDocument(version int, withLookups bool) string {
+func orderDocument(version int, withLookups bool, timeout time.Duration) string {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"Name": name, "Host": streamHost, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": orderTimeout.Milliseconds(),
+			"Name": name, "Host": streamHost, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeout.Milliseconds(),
 			"TargetLatencyMs": orderTargetMs, "Priority": 2, "Service": orderService, "MaxAttempts": attempts, "Public": false,
 		}
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -36,6 +36,7 @@
 	"6": playPreempted,
 	"7": playHead,
 	"8": playLostSeed,
+	"9": playSlowReader,
 }
 
 func main() {
--- a/review/standin2/service.go
+++ b/review/standin2/service.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,6 +19,7 @@
 type serviceRunner struct {
 	id, service, addr string
 	control           []string
+	answerBytes       int
 	record            *record
 	server            *http.Server
 	stopped           chan struct{}
@@ -62,7 +64,8 @@
 	r.mu.Unlock()
 	time.Sleep(serviceTime)
 	w.Header().Set("X-Response-Seal", seal)
-	_, _ = w.Write(make([]byte, serviceBytes))
+	w.Header().Set("Content-Length", strconv.Itoa(r.answerBytes))
+	_, _ = w.Write(make([]byte, r.answerBytes))
 }
 
 // runsOf returns how often a request ran here.
