io/http1: a response with status 000 is no response

Callers saw: an upstream's answer with status 000 as a success, on the platform's interface and on the product's own; statuses 600 to 999 were passed on as they were. Cause: fasthttp parses any three digits, keeps 0 for "not set" and reports a status of 0 as 200. ReadResponseHeader, which all paths to upstreams share, used the parsed value. Ruled out: a check of the parsed header. It can't tell 000 from 200, and 001 to 099 were skipped as interim responses, so that the request waited for its timeout. Change: ReadResponseHeader checks the bytes of a header before fasthttp parses them, line by line as they arrive; a status code outside 100 to 599 (RFC 9110, section 15) is an ErrMalformed error. The request fails as one that may have been executed, and its connection is closed.

--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxInterimResponses limits the 1xx responses before a final one.
-	maxInterimResponses = 8
 	// maxTrailerBytes limits the trailer of a chunked body.
 	maxTrailerBytes = 4096
 	// firstReadBytes is the size of the first buffer of a body of unknown length, maxFirstReadBytes that of any body. The
@@ -25,21 +23,6 @@
 	chunkedLength = -1
 )
 
-// ReadResponseHeader reads the header of a final response and skips interim ones. The size of the reader's buffer limits
-// each header.
-func ReadResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	for range maxInterimResponses + 1 {
-		if err := h.Read(br); err != nil {
-			return errors.Wrap(err, "read header")
-		}
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			return nil
-		}
-	}
-	rejected.Add("interimResponses", 1)
-	return errors.Newf("more than %d interim responses", maxInterimResponses)
-}
-
 // BodyLength returns the content length of a response as Body takes it. Responses to HEAD and those with status 204 or 304
 // have no body, whatever their header says.
 func BodyLength(h *fasthttp.ResponseHeader, toHead bool) int {
--- a/io/http1/memory.go
+++ b/io/http1/memory.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// rejected counts the bodies and events that were not read to their end, by reason.
+// rejected counts the headers, bodies and events that were not read to their end, by reason.
 var rejected = expvar.NewMap("bodiesRejected")
 
 var (
--- /dev/null
+++ b/io/http1/response.go
@@ -0,0 +1,95 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxInterimResponses limits the 1xx responses before a final one.
+const maxInterimResponses = 8
+
+// ErrMalformed means that a response is not in the syntax of HTTP/1.1 (RFC 9110 and RFC 9112).
+var ErrMalformed = errors.New("malformed response")
+
+func malformed(format string, args ...any) error {
+	rejected.Add("malformed", 1)
+	return errors.Wrapf(ErrMalformed, format, args...)
+}
+
+// ReadResponseHeader reads the header of a final response and skips interim ones. The size of the reader's buffer limits
+// each header. A header that is not in the syntax of HTTP/1.1 is an ErrMalformed error.
+func ReadResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := awaitResponseHeader(br); err != nil {
+			return errors.Wrap(err, "read header")
+		}
+		if err := h.Read(br); err != nil {
+			return errors.Wrap(err, "parse header")
+		}
+		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	rejected.Add("interimResponses", 1)
+	return errors.Newf("more than %d interim responses", maxInterimResponses)
+}
+
+// awaitResponseHeader waits until a complete header is buffered, and consumes nothing. The lines are checked as they arrive,
+// so that bytes that are no response fail without a wait for the rest of a header.
+func awaitResponseHeader(br *bufio.Reader) error {
+	for minBytes := 1; ; {
+		b, readErr := br.Peek(max(minBytes, br.Buffered()))
+		complete, err := checkResponseHeader(b)
+		switch {
+		case err != nil:
+			return err
+		case complete:
+			return nil
+		case errors.Is(readErr, bufio.ErrBufferFull):
+			return tooLong("header", br.Size())
+		case errors.Is(readErr, io.EOF) && len(b) > 0:
+			return io.ErrUnexpectedEOF
+		case readErr != nil:
+			return readErr
+		}
+		minBytes = len(b) + 1
+	}
+}
+
+// checkResponseHeader checks the complete lines at the start of a response and reports whether they are a complete header.
+// fasthttp repairs or ignores what is malformed in these bytes, so the parsed header doesn't show it.
+func checkResponseHeader(b []byte) (complete bool, err error) {
+	// fasthttp skips empty lines before the status line.
+	statusLine, fields, ended := bytes.Cut(bytes.TrimLeft(b, "\r\n"), []byte("\n"))
+	if !ended {
+		return false, nil
+	}
+	if err := checkStatusLine(statusLine); err != nil {
+		return false, err
+	}
+	for line := range bytes.Lines(fields) {
+		text, ended := bytes.CutSuffix(line, []byte("\n"))
+		if !ended {
+			return false, nil
+		}
+		if len(bytes.TrimSuffix(text, []byte("\r"))) == 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// checkStatusLine returns an ErrMalformed error if the status code is not a number from 100 to 599. fasthttp takes 000 for 200.
+func checkStatusLine(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	code = bytes.TrimSuffix(code, []byte("\r"))
+	if len(code) != 3 || code[0] < '1' || code[0] > '5' {
+		return malformed("status code %.20q", code)
+	}
+	return nil
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -125,7 +125,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return core.Fail(core.KindUpstreamFailed, "the upstream did not respond in time")
-	case errors.Is(err, http1.ErrTooLong), errors.Is(err, http1.ErrNoMemory):
+	case errors.IsAny(err, http1.ErrTooLong, http1.ErrNoMemory, http1.ErrMalformed):
 		return core.Fail(core.KindUpstreamFailed, "the upstream's response was not read to its end: %v", err)
 	}
 	return core.Fail(core.KindUpstreamFailed, "the connection to the upstream was lost: %v", err)
