io/http1: a response with an invalid field name is no response

Callers saw: an upstream's answer in whose header the name of a field holds a blank, as a success: "X B: c" was passed on as it came, "X-B : c" without its blank. With "Content Length: 15" the length was ignored, so that the body was whatever came until the connection ended or the request timed out. Cause: fasthttp's scanner of header lines takes blanks for part of a name, drops those at its end and keeps the others. It rejects most control bytes by itself; the header shows none of that after it has been parsed. Ruled out: accepting "X-B : c" without the blank, as RFC 9112 (section 5.1) lets a proxy do. The line is not in the grammar, requests with it are refused already, and what an upstream in trouble meant by it can't be known. Change: the check of the header's bytes requires a token and a colon at the start of each line that isn't folded. Folded lines, bare line feeds and all characters of a token are read as before.

--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -71,14 +72,22 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return false, err
 	}
+	foldable := false
 	for line := range bytes.Lines(fields) {
 		text, ended := bytes.CutSuffix(line, []byte("\n"))
 		if !ended {
 			return false, nil
 		}
-		if len(bytes.TrimSuffix(text, []byte("\r"))) == 0 {
+		text = bytes.TrimSuffix(text, []byte("\r"))
+		if len(text) == 0 {
 			return true, nil
 		}
+		if folded := foldable && (text[0] == ' ' || text[0] == '\t'); !folded {
+			if err := checkFieldName(text); err != nil {
+				return false, err
+			}
+		}
+		foldable = true
 	}
 	return false, nil
 }
@@ -93,3 +102,21 @@
 	}
 	return nil
 }
+
+// checkFieldName returns an ErrMalformed error if a header line doesn't begin with the name of a field and a colon. Of a name with
+// blanks, fasthttp drops those at its end and passes the others on.
+func checkFieldName(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !isToken(name) {
+		return malformed("header line %.40q has no valid field name", line)
+	}
+	return nil
+}
+
+// isToken reports whether a name is a token, as the names of fields must be (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	return len(name) > 0 && !bytes.ContainsFunc(name, func(c rune) bool {
+		isAlphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+	})
+}
--- a/io/http1/response_test.go
+++ b/io/http1/response_test.go
@@ -34,7 +34,7 @@
 func TestMalformedLineFailsBeforeTheHeaderEnds(t *testing.T) {
 	for _, m := range faulty.MalformedHeaders("", "hello") {
 		client, server := net.Pipe()
-		go func() { _, _ = io.WriteString(server, m.Text[:strings.Index(m.Text, "Content-Length")]) }()
+		go func() { _, _ = io.WriteString(server, m.Text[:strings.Index(m.Text, "\r\n\r\n")+2]) }()
 		require.NoError(t, client.SetDeadline(time.Now().Add(time.Minute)))
 		var h fasthttp.ResponseHeader
 		require.ErrorIs(t, http1.ReadResponseHeader(bufio.NewReader(client), &h), http1.ErrMalformed, m.Name)
