io/http1: the framing of a response is what its header says

Callers saw: bodies that were not the upstream's, or a timeout. A CR in the status line hid the line after it, such as "HTTP/1.1 200 OK\rContent-Length: 15", so that the body had no length; chunks in a version other than HTTP/1.1 were passed on as part of the body. Versions 0.9 and 2.0 and control bytes in the status line were taken for HTTP/1.1. Cause: fasthttp doesn't look at the reason phrase, accepts any two digits as a version, and ignores a transfer coding outside HTTP/1.1. Ruled out: decoding chunks in HTTP/1.0. RFC 9112 (section 6.1) requires that such framing is treated as faulty. Change: the check of the header's bytes also rejects control bytes in the status line, versions other than HTTP/1.x, and a transfer coding in other versions than HTTP/1.1. HTTP/1.0 and HTTP/1.2 without one are read as before. Measured: before, TestMalformedResponseIsNoResponse fails for the five status lines (200 and the body passed on) and for "length in the status line", "chunks in HTTP/1.0" and "chunks in HTTP/1.2" (504 while the connection stayed open). After, it passes, as do TestMalformedResponseDoesNotContinueAStream, TestMalformedResponsesAreFailures and the tests of io/http1.

--- a/io/faulty/malformed.go
+++ b/io/faulty/malformed.go
@@ -18,11 +18,18 @@
 		responses = append(responses, Malformed{f.name, statusLine + headers + length + f.line + end})
 	}
 	responses = append(responses, Malformed{"blank before the first name", statusLine + " X-B: c\r\n" + headers + length + end})
-	// Without these lines, the body has another length.
+	for _, line := range []string{"HTTP/1.1 200 OK\x01", "HTTP/1.1 200 OK\x00", "HTTP/1.1 200 OK\rX-B: c", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"} {
+		responses = append(responses, Malformed{fmt.Sprintf("status line %q", line), line + "\r\n" + headers + length + end})
+	}
+	// In these responses, a line that says where the body ends is lost, or is no such line.
 	for _, name := range []string{"Content Length", "Content-Length ", "Content-Length\t", "Content-\x01Length", "Content-Length\x7f"} {
 		line := fmt.Sprintf("%s: %d\r\n", name, len(body))
 		responses = append(responses, Malformed{fmt.Sprintf("length as %q", name), statusLine + headers + line + end})
 	}
+	responses = append(responses, Malformed{"length in the status line", "HTTP/1.1 200 OK\r" + length + headers + end})
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2"} {
+		responses = append(responses, Malformed{"chunks in " + version, fmt.Sprintf("%s 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", version, headers, len(body), body)})
+	}
 	return responses
 }
 
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -69,9 +69,11 @@
 	if !ended {
 		return false, nil
 	}
+	statusLine = bytes.TrimSuffix(statusLine, []byte("\r"))
 	if err := checkStatusLine(statusLine); err != nil {
 		return false, err
 	}
+	hasChunks := bytes.HasPrefix(statusLine, chunkedVersion)
 	foldable := false
 	for line := range bytes.Lines(fields) {
 		text, ended := bytes.CutSuffix(line, []byte("\n"))
@@ -83,7 +85,7 @@
 			return true, nil
 		}
 		if folded := foldable && (text[0] == ' ' || text[0] == '\t'); !folded {
-			if err := checkFieldName(text); err != nil {
+			if err := checkField(text, hasChunks); err != nil {
 				return false, err
 			}
 		}
@@ -92,24 +94,34 @@
 	return false, nil
 }
 
-// checkStatusLine returns an ErrMalformed error if the status code is not a number from 100 to 599. fasthttp takes 000 for 200.
+// chunkedVersion is the version whose chunks fasthttp decodes. In others it ignores a transfer coding and the body ends with the
+// connection, so that the chunks would be part of the body.
+var chunkedVersion = []byte("HTTP/1.1 ")
+
+// checkStatusLine returns an ErrMalformed error if a status line has a version other than HTTP/1, a status code outside 100 to
+// 599 or a control byte, such as a CR that hides a header line. fasthttp takes 000 for 200.
 func checkStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	code = bytes.TrimSuffix(code, []byte("\r"))
-	if len(code) != 3 || code[0] < '1' || code[0] > '5' {
-		return malformed("status code %.20q", code)
+	isValid := bytes.HasPrefix(version, []byte("HTTP/1.")) && len(code) == 3 && '1' <= code[0] && code[0] <= '5'
+	if !isValid || bytes.ContainsFunc(line, isControl) {
+		return malformed("status line %.40q", line)
 	}
 	return nil
 }
 
-// checkFieldName returns an ErrMalformed error if a header line doesn't begin with the name of a field and a colon. Of a name with
-// blanks, fasthttp drops those at its end and passes the others on.
-func checkFieldName(line []byte) error {
+func isControl(c rune) bool { return (c < ' ' && c != '\t') || c == 0x7f }
+
+// checkField returns an ErrMalformed error if a header line doesn't begin with the name of a field and a colon, or has a transfer
+// coding that is not decoded. Of a name with blanks, fasthttp drops those at its end and passes the others on.
+func checkField(line []byte, hasChunks bool) error {
 	name, _, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !isToken(name) {
 		return malformed("header line %.40q has no valid field name", line)
 	}
+	if !hasChunks && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+		return malformed("transfer coding in a version other than HTTP/1.1")
+	}
 	return nil
 }
 
