io/http1: a response that switches protocols is no response

Callers saw: an upstream's status 101 as their response. A caller's next response on that connection would be read in another protocol. Cause: ReadResponseHeader took 101 for a final response, the only one below 200, and passed it on without a body. Ruled out: skipping it like other interim responses. After 101 the upstream speaks another protocol, so that no response follows. Change: 101 is an ErrMalformed error. No request asks for another protocol: Upgrade is a hop-by-hop header and not forwarded. Measured: before, TestMalformedResponseIsNoResponse/status_101 fails with status 101 and TestMalformedResponsesAreFailures/status_101 with no failure; after, both pass.

--- a/io/faulty/malformed.go
+++ b/io/faulty/malformed.go
@@ -11,7 +11,7 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	end := "\r\n" + body
 	var responses []Malformed
-	for _, status := range []string{"000", "001", "099", "600", "999"} {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
 		responses = append(responses, Malformed{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + headers + length + end})
 	}
 	for _, f := range malformedFields {
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -31,7 +31,7 @@
 		if err := h.Read(br); err != nil {
 			return errors.Wrap(err, "parse header")
 		}
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 	}
@@ -98,8 +98,11 @@
 // connection, so that the chunks would be part of the body.
 var chunkedVersion = []byte("HTTP/1.1 ")
 
+// switchingProtocols is the status of a response after which the connection has another protocol. Requests never ask for one.
+const switchingProtocols = "101"
+
 // checkStatusLine returns an ErrMalformed error if a status line has a version other than HTTP/1, a status code outside 100 to
-// 599 or a control byte, such as a CR that hides a header line. fasthttp takes 000 for 200.
+// 599 or a control byte, such as a CR that hides a header line, or switches protocols. fasthttp takes status 000 for 200.
 func checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
@@ -107,6 +110,9 @@
 	if !isValid || bytes.ContainsFunc(line, isControl) {
 		return malformed("status line %.40q", line)
 	}
+	if string(code) == switchingProtocols {
+		return malformed("status 101 without a request to switch protocols")
+	}
 	return nil
 }
 
