io/links, platform, io/caller, io/engine: all clients read responses with the same checks

Callers saw: an engine's malformed answer to an assign request counted as its consent, or as a refusal where it is neither; the client of the product's own interface, which the load tool, the demo and the soak use, reported malformed answers as a host's. Cause: these three readers used fasthttp's clients, which parse a header without the checks of ReadResponseHeader. Ruled out: the operators' client. It is net/http below twirp, which takes any status but 200 for an error and passes no header on. There are no status checks of upstreams: HealthPath is stored and not used, and an upstream's state comes from its heartbeats and responses. Hosts speak CBOR in frames to each other, not HTTP. Change: links.PooledConn has RoundTrip and Exchange, and links.Fetch makes one request on a connection of its own; the upstream client, assign requests, the callers' client and the stand-in engines use them. A response to a stream request with a status other than 200 that ends early is an error, no longer a shorter text. Measured: before, TestMalformedResponseToAssignRequest and TestClientRejectsMalformedResponses fail for 19 of the malformed responses each, the second also for 000 as status 200. After, they pass, and so do the tests of io/links, io/upstream, io/daemon, cmd/oleanderlever and platform's tests of assign requests.

--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -5,12 +5,14 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"oleanderlever/io/http1"
+	"oleanderlever/io/links"
 )
 
 // Client is a client of the caller API for the demo, the load tool and tests.
@@ -35,14 +37,12 @@
 	NotExecuted bool
 }
 
-const defaultTimeout = 2 * time.Minute
-
-func (c *Client) hostClient(stream bool) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr: c.Addr.String(), StreamResponseBody: stream, MaxIdemponentCallAttempts: 1,
-		Dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, time.Second) },
-	}
-}
+const (
+	defaultTimeout = 2 * time.Minute
+	connectTimeout = time.Second
+	// maxResponseBytes limits a complete response.
+	maxResponseBytes = 64 << 20
+)
 
 func (c *Client) fillRequest(req *fasthttp.Request, method, path string, body []byte, headers []Header) {
 	req.Header.SetMethod(method)
@@ -62,16 +62,23 @@
 
 // Do sends a request and reads the complete response.
 func (c *Client) Do(method, path string, body []byte, headers ...Header) (Response, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, method, path, body, headers)
-	h := c.hostClient(false)
-	defer h.CloseIdleConnections()
-	if err := h.DoTimeout(req, resp, c.timeout()); err != nil {
+	deadline := time.Now().Add(c.timeout())
+	conn, err := links.Open(c.Addr, connectTimeout)
+	if err != nil {
 		return Response{}, errors.Wrap(err, path)
 	}
-	return newResponse(resp, bytes.Clone(resp.Body())), nil
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return Response{}, errors.Wrap(err, path)
+	}
+	resp, err := conn.Exchange(req, maxResponseBytes)
+	if err != nil {
+		return Response{}, errors.Wrap(err, path)
+	}
+	return newResponse(&resp.Header, resp.Body()), nil
 }
 
 func (c *Client) timeout() time.Duration {
@@ -81,8 +88,8 @@
 	return defaultTimeout
 }
 
-func newResponse(resp *fasthttp.Response, body []byte) Response {
-	r := Response{Status: resp.StatusCode(), Body: body, StoredResponse: len(resp.Header.Peek("X-Stored-Answer")) > 0}
+func newResponse(h *fasthttp.ResponseHeader, body []byte) Response {
+	r := Response{Status: h.StatusCode(), Body: body, StoredResponse: len(h.Peek("X-Stored-Answer")) > 0}
 	var e errorBody
 	if r.Status >= fasthttp.StatusBadRequest && json.Unmarshal(body, &e) == nil {
 		r.Kind, r.NotExecuted = e.Error.Kind, e.Error.NotExecuted
@@ -107,23 +114,26 @@
 // Stream sends a model request and reads its stream. It calls onToken, if not nil, with the number of tokens so far, and
 // disconnects if onToken returns false.
 func (c *Client) Stream(path string, body []byte, onToken func(n int) bool) (StreamResult, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, fasthttp.MethodPost, path, body, nil)
-	h := c.hostClient(true)
-	defer h.CloseIdleConnections()
 	started := time.Now()
-	if err := h.Do(req, resp); err != nil {
+	conn, err := links.Open(c.Addr, connectTimeout)
+	if err != nil {
+		return StreamResult{}, errors.Wrap(err, path)
+	}
+	defer func() { _ = conn.Close() }()
+	var h fasthttp.ResponseHeader
+	if err := conn.RoundTrip(req, &h); err != nil {
 		return StreamResult{}, errors.Wrap(err, path)
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if resp.StatusCode() != fasthttp.StatusOK {
-		text, _ := io.ReadAll(resp.BodyStream())
-		return StreamResult{Response: newResponse(resp, text)}, nil
+	bodyReader := http1.Body(conn.Reader, http1.BodyLength(&h, false))
+	if h.StatusCode() != fasthttp.StatusOK {
+		text, err := io.ReadAll(io.LimitReader(bodyReader, maxResponseBytes))
+		return StreamResult{Response: newResponse(&h, text)}, errors.Wrap(err, path)
 	}
-	s := StreamResult{Response: newResponse(resp, nil)}
-	return s, s.readEvents(resp.BodyStream(), started, onToken)
+	s := StreamResult{Response: newResponse(&h, nil)}
+	return s, s.readEvents(bodyReader, started, onToken)
 }
 
 func (s *StreamResult) readEvents(r io.Reader, started time.Time, onToken func(n int) bool) error {
--- a/io/engine/server.go
+++ b/io/engine/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"oleanderlever/core"
+	"oleanderlever/io/links"
 	"oleanderlever/io/upstream"
 )
 
@@ -31,7 +32,6 @@
 	http       *fasthttp.Server
 	listener   net.Listener
 	announcer  *upstream.Announcer
-	client     *fasthttp.Client
 	lastHandle atomic.Uint64
 	addr       netip.AddrPort
 }
@@ -47,7 +47,7 @@
 		addr = c.Advertised
 	}
 	e := &Engine{config: c, kvEntries: map[string]*kvEntry{}, streams: map[string]*stream{}, prefixCache: map[uint64]time.Time{}}
-	h := &httpServer{engine: e, listener: l, addr: addr, client: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
+	h := &httpServer{engine: e, listener: l, addr: addr}
 	h.http = &fasthttp.Server{Handler: h.handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true}
 	h.announcer = &upstream.Announcer{
 		Announcement: core.Announcement{
@@ -193,14 +193,14 @@
 		h.engine.freeKV(request.KVHandle, true)
 		return nil
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + request.KVAddr.String() + upstream.PathKV + request.KVHandle)
 	if h.engine.config.Secret != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+h.engine.config.Secret)
 	}
-	if err := h.client.DoTimeout(req, resp, kvHandleTTL); err != nil {
+	resp, err := links.Fetch(request.KVAddr, req, maxBodyBytes, kvHandleTTL)
+	if err != nil {
 		return err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -101,8 +101,11 @@
 }
 
 // Dial opens a new connection to an upstream.
-func Dial(k Key) (*PooledConn, error) {
-	conn, err := socket.Dialer(dialTimeout).Dial("tcp", k.Addr.String())
+func Dial(k Key) (*PooledConn, error) { return Open(k.Addr, dialTimeout) }
+
+// Open opens a new connection within the timeout.
+func Open(addr netip.AddrPort, timeout time.Duration) (*PooledConn, error) {
+	conn, err := socket.Dialer(timeout).Dial("tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "the upstream is unreachable")
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"net/netip"
 	"os"
 	"time"
@@ -15,11 +14,8 @@
 	"oleanderlever/io/links"
 )
 
-const (
-	// maxResponseBytes limits the body of a plain service's response.
-	maxResponseBytes = 16 << 20
-	requestBuffer    = 4096
-)
+// maxResponseBytes limits the body of a plain service's response.
+const maxResponseBytes = 16 << 20
 
 // Client sends requests to upstreams.
 type Client struct {
@@ -87,14 +83,7 @@
 	if err := r.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	w := bufio.NewWriterSize(r.conn, requestBuffer)
-	if err := req.Write(w); err != nil {
-		return err
-	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	return http1.ReadResponseHeader(r.conn.Reader, &r.header)
+	return r.conn.RoundTrip(req, &r.header)
 }
 
 // readBody reads a body of at most limit bytes, and returns the connection to the pool if the response is complete.
