--- a/io/caller/client_test.go
+++ b/io/caller/client_test.go
@@ -14,8 +14,8 @@
 	"oleanderlever/io/http1"
 )
 
-// respond returns a client of a server that answers the only request on each connection with the text.
-func respond(t *testing.T, text string) *caller.Client {
+// newClient returns a client of a server that handles the first request of each connection, whose body it may leave unread.
+func newClient(t *testing.T, handle func(conn *net.TCPConn)) *caller.Client {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -26,7 +26,7 @@
 				return
 			}
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, text)
+				handle(conn.(*net.TCPConn))
 			}
 			_ = conn.Close()
 		}
@@ -38,7 +38,7 @@
 func TestClientRejectsMalformedResponses(t *testing.T) {
 	for _, m := range faulty.MalformedHeaders("Content-Type: text/event-stream\r\n", "data: [DONE]\n\n") {
 		t.Run(m.Name, func(t *testing.T) {
-			c := respond(t, m.Text)
+			c := newClient(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, m.Text) })
 			_, err := c.Do(http.MethodGet, "/readyz", nil)
 			require.ErrorIs(t, err, http1.ErrMalformed)
 			result, err := c.Stream("/v1/completions", nil, nil)
@@ -47,3 +47,10 @@
 		})
 	}
 }
+
+// A host that was lost while it read an upload had begun to respond. The client took the part of the response for all of it.
+func TestClientRejectsResponseAfterReset(t *testing.T) {
+	c := newClient(t, func(conn *net.TCPConn) { _ = faulty.ResetUpload(conn, "HTTP/1.1 200 OK\r\n\r\npart") })
+	resp, err := c.Do(http.MethodPost, "/orders", make([]byte, 8_000_000))
+	require.Error(t, err, "%q", resp.Body)
+}
--- a/io/faulty/doc.go
+++ b/io/faulty/doc.go
@@ -1,2 +1,2 @@
-// Package faulty has responses of HTTP/1.1 servers that never end or are malformed, for tests of clients.
+// Package faulty has responses of HTTP/1.1 servers that never end, are malformed or end in a reset, for tests of clients.
 package faulty
