core/replica: a test of disks that are full one directly after the other

Report: on other systems, the disks of counted machines were full for a few seconds each, one after another, never two at once. Long after the last had room again, changes were refused or not answered, while all processes ran. Result: it was not reproduced here, and nothing had to change. A replica whose write fails leaves the set, writes its whole log again once a second, and is a follower again after that; standbys take its place meanwhile. It passes on the code as it was.

--- a/core/replica/diskfailure_test.go
+++ b/core/replica/diskfailure_test.go
@@ -44,6 +44,45 @@
 	}
 }
 
+// Guards against replicas that stay away, or a replica set that stays without a leader, after all disks were full for a few
+// seconds, one directly after the other: changes were then refused or not answered although all processes ran. The documents are
+// large enough for snapshots while a disk is full.
+func TestChangesAreAcknowledgedAfterAllDisksWereFull(t *testing.T) {
+	const maxAckTime = 2 * time.Second
+	for seed := range uint64(30) {
+		disks := 3 + int(seed%3)
+		targetVoters := []int{3, disks}[seed%2]
+		c := newJoinCluster(t, seed, disks, targetVoters)
+		c.RunFor(4 * time.Second)
+		for _, i := range c.Rand.Perm(disks) {
+			full := c.Hosts[i]
+			full.DiskFull = true
+			for end := c.Now.Add(time.Duration(1+c.Rand.IntN(6)) * time.Second); c.Now.Before(end); {
+				c.putDocument(c.Hosts[c.Rand.IntN(len(c.Hosts))])
+				c.RunFor(time.Duration(50+c.Rand.IntN(400)) * time.Millisecond)
+			}
+			full.DiskFull = false
+		}
+		c.RunFor(4 * time.Second)
+		for _, h := range c.Hosts {
+			id := c.putDocument(h)
+			acknowledged := c.RunUntil(maxAckTime, func() bool { _, ok := c.operator.Results[id]; return ok })
+			require.True(t, acknowledged, "seed %d: a change through %s is not answered", seed, h.ID)
+			require.Nil(t, c.operator.Results[id].Failure, "seed %d: a change through %s", seed, h.ID)
+		}
+		require.Empty(t, c.violations, "seed %d", seed)
+	}
+}
+
+// putDocument sends a large document with a revision above all earlier ones through a host.
+func (c *cluster) putDocument(h *harness.Host) uint64 {
+	d := &core.Document{
+		Revision: core.Revision(c.Now.UnixNano()), Source: make([]byte, 512<<10), Pools: []core.Pool{{ID: "p"}},
+		Routes: []core.Route{{Name: "r", Host: "h", Path: "/", Pool: "p", Timeout: time.Second}},
+	}
+	return c.operator.Send(h, core.Command{Change: core.Change{Kind: core.ChangeReplaceConfig, Document: d}})
+}
+
 // Random full disks, crashes and restarts: acknowledged changes must survive, and the replicas must recover in the end.
 func TestFullDisksAndCrashesLoseNothing(t *testing.T) {
 	for seed := range uint64(30) {
