--- a/io/faulty/reset.go
+++ b/io/faulty/reset.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// ResetDelay is how long a connection stays open after a response that comes before the request has been read. The client's
+// resetDelay is how long a connection stays open after a response that comes before the request has been read. The client's
 // upload has filled the buffers by then.
-const ResetDelay = 100 * time.Millisecond
+const resetDelay = 100 * time.Millisecond
 
 // ResetUpload sends a response, reads nothing more of the request and resets the connection. An upload that doesn't fit into the
 // buffers of the connection is still being sent.
@@ -15,7 +15,7 @@
 	if _, err := conn.Write([]byte(response)); err != nil {
 		return err
 	}
-	time.Sleep(ResetDelay)
+	time.Sleep(resetDelay)
 	if err := conn.SetLinger(0); err != nil {
 		return err
 	}
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -29,7 +29,7 @@
 			return errors.Wrap(err, "read header")
 		}
 		if err := h.Read(br); err != nil {
-			return errors.Wrap(err, "parse header")
+			return malformed("parse header: %v", err)
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
@@ -73,8 +73,8 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return false, err
 	}
-	hasChunks := bytes.HasPrefix(statusLine, chunkedVersion)
-	foldable := false
+	decodesChunks := bytes.HasPrefix(statusLine, chunkedVersion)
+	first := true
 	for line := range bytes.Lines(fields) {
 		text, ended := bytes.CutSuffix(line, []byte("\n"))
 		if !ended {
@@ -84,12 +84,13 @@
 		if len(text) == 0 {
 			return true, nil
 		}
-		if folded := foldable && (text[0] == ' ' || text[0] == '\t'); !folded {
-			if err := checkField(text, hasChunks); err != nil {
+		// A line that begins with a blank continues the field before it.
+		if folded := !first && (text[0] == ' ' || text[0] == '\t'); !folded {
+			if err := checkField(text, decodesChunks); err != nil {
 				return false, err
 			}
 		}
-		foldable = true
+		first = false
 	}
 	return false, nil
 }
@@ -118,14 +119,14 @@
 
 func isControl(c rune) bool { return (c < ' ' && c != '\t') || c == 0x7f }
 
-// checkField returns an ErrMalformed error if a header line doesn't begin with the name of a field and a colon, or has a transfer
-// coding that is not decoded. Of a name with blanks, fasthttp drops those at its end and passes the others on.
-func checkField(line []byte, hasChunks bool) error {
+// checkField returns an ErrMalformed error if a header line doesn't begin with the name of a field and a colon, or names a
+// transfer coding though chunks are not decoded. Of a name with blanks, fasthttp drops those at its end and keeps the others.
+func checkField(line []byte, decodesChunks bool) error {
 	name, _, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !isToken(name) {
 		return malformed("header line %.40q has no valid field name", line)
 	}
-	if !hasChunks && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+	if !decodesChunks && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
 		return malformed("transfer coding in a version other than HTTP/1.1")
 	}
 	return nil
--- a/io/http1/response_test.go
+++ b/io/http1/response_test.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// What fasthttp rejects counts as malformed as well.
+func TestHeaderThatCannotBeParsedIsMalformed(t *testing.T) {
+	for _, lines := range []string{
+		"X-A: b\x01\r\n", "X-A: b\rc\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: -5\r\n",
+		"Content-Length: 5, 5\r\n", "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		var h fasthttp.ResponseHeader
+		br := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + lines + "\r\nhello"))
+		require.ErrorIs(t, http1.ReadResponseHeader(br, &h), http1.ErrMalformed, lines)
+	}
+}
+
 // A malformed line fails at once: an upstream that keeps the connection open would otherwise hold its request until a timeout.
 func TestMalformedLineFailsBeforeTheHeaderEnds(t *testing.T) {
 	for _, m := range faulty.MalformedHeaders("", "hello") {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -101,13 +101,16 @@
 }
 
 // Dial opens a new connection to an upstream.
-func Dial(k Key) (*PooledConn, error) { return Open(k.Addr, dialTimeout) }
+func Dial(k Key) (*PooledConn, error) {
+	conn, err := Open(k.Addr, dialTimeout)
+	return conn, errors.Wrap(err, "the upstream is unreachable")
+}
 
-// Open opens a new connection within the timeout.
+// Open opens a new connection to any address within the timeout.
 func Open(addr netip.AddrPort, timeout time.Duration) (*PooledConn, error) {
 	conn, err := socket.Dialer(timeout).Dial("tcp", addr.String())
 	if err != nil {
-		return nil, errors.Wrap(err, "the upstream is unreachable")
+		return nil, err
 	}
 	return &PooledConn{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
