io/links, io/http1: one place sets the deadline of an exchange, and one rule says what a field name is

Cause: three callers set a connection's deadline right before RoundTrip or Exchange; the checks of requests and of responses each had a rule for the names of fields; the test of the callers' client had an accept loop of its own beside socket.Accept. Change: RoundTrip and Exchange take the deadline, so that upstream's exchange method goes; ValidateFraming uses isToken; the test uses socket.Accept. Ruled out: a change of what is accepted. Measured: make lint, and the tests of io/http1, io/links, io/caller and io/upstream pass.

--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -71,10 +71,7 @@
 		return Response{}, errors.Wrap(err, path)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(deadline); err != nil {
-		return Response{}, errors.Wrap(err, path)
-	}
-	resp, err := conn.Exchange(req, maxResponseBytes)
+	resp, err := conn.Exchange(req, maxResponseBytes, deadline)
 	if err != nil {
 		return Response{}, errors.Wrap(err, path)
 	}
@@ -124,7 +121,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	var h fasthttp.ResponseHeader
-	if err := conn.RoundTrip(req, &h); err != nil {
+	if err := conn.RoundTrip(req, &h, time.Time{}); err != nil {
 		return StreamResult{}, errors.Wrap(err, path)
 	}
 	bodyReader := http1.Body(conn.Reader, http1.BodyLength(&h, false))
--- a/io/caller/client_test.go
+++ b/io/caller/client_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"oleanderlever/io/caller"
 	"oleanderlever/io/faulty"
 	"oleanderlever/io/http1"
+	"oleanderlever/io/socket"
 )
 
 // newClient returns a client of a server that handles the first request of each connection, whose body it may leave unread.
@@ -19,18 +21,12 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				handle(conn.(*net.TCPConn))
-			}
-			_ = conn.Close()
+	go socket.Accept(l, zerolog.Nop(), func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			handle(conn.(*net.TCPConn))
 		}
-	}()
+		_ = conn.Close()
+	})
 	return &caller.Client{Addr: l.Addr().(*net.TCPAddr).AddrPort()}
 }
 
--- a/io/http1/header.go
+++ b/io/http1/header.go
@@ -81,8 +81,8 @@
 		}
 		switch {
 		case !found:
-		case len(name) == 0 || bytes.ContainsAny(name, " \t"):
-			return core.Fail(core.KindBadRequest, "a header name is empty or contains a blank")
+		case !isToken(name):
+			return core.Fail(core.KindBadRequest, "the header name %.40q is not valid", name)
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 			lengths++
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
--- a/io/links/fetch.go
+++ b/io/links/fetch.go
@@ -12,9 +12,12 @@
 
 const writeBufferBytes = 4096
 
-// RoundTrip sends a request and reads the header of the response. The deadline of the connection limits it. After an error the
-// connection must be closed: the response, or the rest of the request, may still be on its way.
-func (c *PooledConn) RoundTrip(req *fasthttp.Request, h *fasthttp.ResponseHeader) error {
+// RoundTrip sends a request and reads the header of the response until the deadline, which stays that of the connection; zero means
+// none. After an error the connection must be closed: the response, or the rest of the request, may still be on its way.
+func (c *PooledConn) RoundTrip(req *fasthttp.Request, h *fasthttp.ResponseHeader, deadline time.Time) error {
+	if err := c.SetDeadline(deadline); err != nil {
+		return err
+	}
 	w := bufio.NewWriterSize(c, writeBufferBytes)
 	if err := req.Write(w); err != nil {
 		return err
@@ -25,11 +28,10 @@
 	return http1.ReadResponseHeader(c.Reader, h)
 }
 
-// Exchange sends a request and reads the complete response, with a body of at most limit bytes. The deadline of the connection
-// limits it.
-func (c *PooledConn) Exchange(req *fasthttp.Request, limit int) (*fasthttp.Response, error) {
+// Exchange sends a request and reads the complete response until the deadline, with a body of at most limit bytes.
+func (c *PooledConn) Exchange(req *fasthttp.Request, limit int, deadline time.Time) (*fasthttp.Response, error) {
 	resp := &fasthttp.Response{}
-	if err := c.RoundTrip(req, &resp.Header); err != nil {
+	if err := c.RoundTrip(req, &resp.Header, deadline); err != nil {
 		return nil, err
 	}
 	body, err := http1.ReadBody(c.Reader, http1.BodyLength(&resp.Header, req.Header.IsHead()), limit, &http1.MemoryLease{})
@@ -49,9 +51,6 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, err
-	}
 	req.SetConnectionClose()
-	return conn.Exchange(req, limit)
+	return conn.Exchange(req, limit, deadline)
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -72,20 +72,13 @@
 		return nil, &core.Failure{Kind: core.KindUpstreamFailed, Message: "the attempt was aborted", NotExecuted: true}
 	}
 	r.conn = conn
-	if err := r.exchange(req, timeout); err != nil {
+	if err := conn.RoundTrip(req, &r.header, time.Now().Add(timeout)); err != nil {
 		_ = conn.Close()
 		return nil, transportFailure(err)
 	}
 	return r, nil
 }
 
-func (r *reply) exchange(req *fasthttp.Request, timeout time.Duration) error {
-	if err := r.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return err
-	}
-	return r.conn.RoundTrip(req, &r.header)
-}
-
 // readBody reads a body of at most limit bytes, and returns the connection to the pool if the response is complete.
 func (c *Client) readBody(r *reply, limit int, memory *http1.MemoryLease) ([]byte, *core.Failure) {
 	body, err := http1.ReadBody(r.conn.Reader, http1.BodyLength(&r.header, r.toHead), limit, memory)
