core/entry, io/links, platform: the log tells which request an upstream ended with

What callers saw: a request under which three upstreams had ended reached up to 15 more. The log did not show why: it knows requests by IDs, which change each time that a caller sends a request again, and it does not tell a crash from a lost response.

Change: no decision. Both front ends hash each request's method, path, query and body; with the caller's key and the host that is its fingerprint. After an upstream has closed a connection, one attempt to connect tells whether its process has ended. Entry hosts log upstreamEnded with both. The hash moves from io/caller to io/http1 unchanged, since idempotency records store it.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -359,6 +359,7 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
 		return
 	}
+	c.logEnd(t, r, r.grant.Prefill, e.Failure)
 	if e.Failure != nil && r.route.Streaming && wasRefused(e.Failure) && !c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		c.attemptFailed(t, r, e.Failure, r.grant.Prefill)
 		return
@@ -434,6 +435,7 @@
 	tokensBefore := r.relayedTokens
 	r.relayedTokens = e.RelayedTokens
 	c.reportStream(t, r, &e, tokensBefore)
+	c.logEnd(t, r, r.grant.Decode, e.Failure)
 	if e.Failure == nil {
 		r.mayHaveRun = true
 		c.sendRelease(t, r, core.PlacementRelease{FirstTokenLatency: r.firstTokenLatency})
@@ -494,6 +496,7 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stageCall {
 		return
 	}
+	c.logEnd(t, r, r.grant.Decode, e.Failure)
 	if e.Failure != nil {
 		c.attemptFailed(t, r, e.Failure, r.grant.Decode)
 		return
--- a/core/entry/quarantine.go
+++ b/core/entry/quarantine.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -26,6 +27,18 @@
 	}
 }
 
+// logEnd logs that an upstream's process ended while it had the request. The log identifies the request by its fingerprint too,
+// since it comes under a new ID each time that its caller sends it.
+func (c *component) logEnd(t *core.Turn, r *request, upstream core.UpstreamID, f *core.Failure) {
+	if f == nil || !f.UpstreamEnded {
+		return
+	}
+	t.LogDecision(core.Decision{
+		Component: "entry", Choice: "upstreamEnded", Reason: f.Message, Request: r.ID, Attempt: r.attemptID().Number, Account: r.account.ID,
+		Pool: r.pool, Target: string(upstream), Fingerprint: fmt.Sprintf("%x", r.Fingerprint()),
+	})
+}
+
 // quarantineFailure returns the failure of a request whose prompt is in quarantine, otherwise nil.
 func (c *component) quarantineFailure(r *core.Request) *core.Failure {
 	for _, set := range c.quarantined {
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -120,6 +120,9 @@
 	NotExecuted bool `cbor:"notRun" json:"notRun"`
 	// RetryAfter is how long the caller should wait before it tries again; zero means the default of the kind.
 	RetryAfter time.Duration `cbor:"retryAfter,omitempty" json:"-"`
+	// UpstreamEnded is true if the upstream closed the connection of the attempt and nothing accepts connections at its
+	// address: its process ended while it had the request.
+	UpstreamEnded bool `cbor:"-" json:"-"`
 }
 
 // Error returns the kind's name and the message.
--- a/core/request.go
+++ b/core/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is the part of a caller's request that the core needs; the body stays with the traffic goroutines.
@@ -28,14 +30,27 @@
 	PromptParts []uint64
 	// IdempotencyKey is the value of the Idempotency-Key header, or empty.
 	IdempotencyKey string
-	// ContentHash is a hash of method, path and body; it distinguishes a resent request from another one with the same
-	// key.
+	// ContentHash is a hash of method, path, query and body, and the same each time that a caller sends a request again. It also
+	// distinguishes a resent request from another one with the same idempotency key. Zero means that it is not known.
 	ContentHash uint64
 	// Deadline is when the request is refused if it still waits for tokens or for its placement. On a route with
 	// EndToEndTimeout, a running attempt is aborted then.
 	Deadline time.Time
 }
 
+// Fingerprint identifies a request each time that its caller sends it, whatever its ID: by the caller's key, the host and the
+// content. It is zero if the content is not known.
+func (r *Request) Fingerprint() uint64 {
+	if r.ContentHash == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(r.KeyHash[:])
+	_, _ = d.WriteString(r.Host)
+	return d.Sum64() ^ r.ContentHash
+}
+
 const (
 	// PageTokens is the unit of engine memory in announcements, and the allocation unit if the configuration names
 	// no other.
@@ -222,6 +237,8 @@
 	// Forecast is when a queued attempt was expected to start, RetryAfter when the caller of a refused one should come back.
 	Forecast   time.Duration `json:"forecast,omitempty"`
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Fingerprint is that of the request in hexadecimal.
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Alternatives are some of the candidates that were not chosen.
 	Alternatives []Candidate `json:"others,omitempty"`
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -105,6 +105,7 @@
 		r.KeyHash = hashKey(key)
 	}
 	body, f := s.readBody(ctx, memory)
+	r.ContentHash = http1.ContentHash(ctx.Method(), ctx.Request.RequestURI(), body)
 	return r, body, key, f
 }
 
@@ -174,7 +175,6 @@
 	x.serviceRequest.Header.Set(upstream.HeaderRequestID, string(r.ID))
 	r.Path = string(ctx.Path())
 	r.IdempotencyKey = string(ctx.Request.Header.Peek(headerIdempotencyKey))
-	r.ContentHash = contentHash(&ctx.Request, body)
 	if f := validateIdempotencyKey(r.IdempotencyKey); f != nil {
 		refuse(ctx, r.ID, memory, f)
 		return
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"oleanderlever/core"
@@ -161,15 +160,3 @@
 	}
 	return "?" + strings.Join(kept, "&")
 }
-
-// contentHash returns a hash of method, path, query and body. It distinguishes a resent call from another call with the
-// same idempotency key.
-func contentHash(r *fasthttp.Request, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.Write(r.Header.Method())
-	_, _ = d.WriteString(" ")
-	_, _ = d.Write(r.RequestURI())
-	_, _ = d.WriteString("\n")
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
--- a/io/telemetry/peer.go
+++ b/io/telemetry/peer.go
@@ -96,6 +96,9 @@
 	if d.Status > 0 {
 		e = e.Int("status", d.Status)
 	}
+	if d.Fingerprint != "" {
+		e = e.Str("fingerprint", d.Fingerprint)
+	}
 	if len(d.Alternatives) > 0 {
 		e = e.Array("others", alternatives(d.Alternatives))
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -12,6 +12,7 @@
 	"oleanderlever/io/bearer"
 	"oleanderlever/io/http1"
 	"oleanderlever/io/links"
+	"oleanderlever/io/socket"
 )
 
 // maxResponseBytes limits the body of a plain service's response.
@@ -74,7 +75,7 @@
 	r.conn = conn
 	if err := conn.RoundTrip(req, &r.header, time.Now().Add(timeout)); err != nil {
 		_ = conn.Close()
-		return nil, transportFailure(err)
+		return nil, transportFailure(addr, err)
 	}
 	return r, nil
 }
@@ -84,7 +85,7 @@
 	body, err := http1.ReadBody(r.conn.Reader, http1.BodyLength(&r.header, r.toHead), limit, memory)
 	if err != nil {
 		_ = r.conn.Close()
-		return nil, transportFailure(err)
+		return nil, transportFailure(r.key.Addr, err)
 	}
 	c.release(r)
 	return body, nil
@@ -103,14 +104,16 @@
 }
 
 // transportFailure converts an error that occurred after the request may have been sent.
-func transportFailure(err error) *core.Failure {
+func transportFailure(addr netip.AddrPort, err error) *core.Failure {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return core.Fail(core.KindUpstreamFailed, "the upstream did not respond in time")
 	case errors.IsAny(err, http1.ErrTooLong, http1.ErrNoMemory, http1.ErrMalformed):
 		return core.Fail(core.KindUpstreamFailed, "the upstream's response was not read to its end: %v", err)
 	}
-	return core.Fail(core.KindUpstreamFailed, "the connection to the upstream was lost: %v", err)
+	f := core.Fail(core.KindUpstreamFailed, "the connection to the upstream was lost: %v", err)
+	f.UpstreamEnded = socket.ClosedByRemote(err) && links.RefusesConnections(addr)
+	return f
 }
 
 // Call sends a request to a plain service and reads the complete response within the timeout; the body counts against
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -13,6 +13,7 @@
 	"oleanderlever/core"
 	"oleanderlever/io/bearer"
 	"oleanderlever/io/http1"
+	"oleanderlever/io/links"
 	"oleanderlever/io/socket"
 )
 
@@ -178,6 +179,9 @@
 		}
 		return r.conn.SetDeadline(time.Now().Add(tokenTimeout))
 	})
+	if result.RemoteClosed {
+		result.Failure.UpstreamEnded = links.RefusesConnections(addr)
+	}
 	if n, err := body.Read(make([]byte, 1)); result.Failure != nil || n > 0 || !errors.Is(err, io.EOF) {
 		r.closeConn = true
 	}
