core/entry: a failing test of a request that crashes its upstreams each time it comes

What callers saw: a request under which three upstreams had ended reached up to 15 more, and other calls of the pool failed with it.

The harness gets upstreams that a request with a given content crashes, and says of a broken connection whether its upstream has ended. TestEqualRequestsAreServedWhileUpstreamsCrash holds what must stay: equal requests are served while upstreams crash for other reasons.

--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -356,9 +356,10 @@
 // crashTime is how long an engine is down after a prompt has crashed it.
 const crashTime = 3 * time.Second
 
-// beginResponse generates the first token of a stream, or crashes the engine if the prompt has a deadly part.
+// beginResponse generates the first token of a stream, or crashes the engine if the request or a part of its prompt is deadly.
 func (e *Engine) beginResponse(s *stream, a core.AttemptID) {
-	deadly := slices.ContainsFunc(s.exchange.PromptParts, func(p uint64) bool { return e.upstreams.DeadlyParts[p] })
+	deadly := e.upstreams.DeadlyContent[s.exchange.ContentHash] ||
+		slices.ContainsFunc(s.exchange.PromptParts, func(p uint64) bool { return e.upstreams.DeadlyParts[p] })
 	if s.ended || !e.Up || !deadly {
 		e.firstToken(s, a)
 		return
@@ -419,10 +420,10 @@
 		s.exchange.RelayedTokens = n
 		s.exchange.lastTokenAt = e.upstreams.run.Now
 	}
-	f := e.upstreams
+	f, failure := e.upstreams, connectionEnded(e.Up)
 	f.after(s.exchange, f.NetworkDelay, func() {
 		f.post(s.exchange, core.DecodeEnded{
-			Attempt: a, RelayedTokens: s.exchange.RelayedTokens, Failure: connectionBroken(), ConnectionLost: true, RemoteClosed: true,
+			Attempt: a, RelayedTokens: s.exchange.RelayedTokens, Failure: failure, ConnectionLost: true, RemoteClosed: true,
 		})
 	})
 }
--- a/core/harness/fakes.go
+++ b/core/harness/fakes.go
@@ -61,9 +61,11 @@
 	AnnounceTo int
 	// AssignTime is how long an engine takes to carry out an assign request.
 	AssignTime time.Duration
-	// DeadlyParts are the prompt parts that crash an engine when it begins a response; Crashes counts these crashes.
-	DeadlyParts map[uint64]bool
-	Crashes     int
+	// DeadlyParts are the prompt parts that crash an engine when it begins a response, DeadlyContent the content hashes of the
+	// requests that crash any upstream that begins to execute them; Crashes counts these crashes.
+	DeadlyParts   map[uint64]bool
+	DeadlyContent map[uint64]bool
+	Crashes       int
 	// CallCounts counts the calls that plain services ran, by content.
 	CallCounts map[string]int
 	// OnDecision, if set, is called for each logged decision.
@@ -185,6 +187,13 @@
 	return core.Fail(core.KindUpstreamFailed, "the connection was lost")
 }
 
+// connectionEnded is the failure of an attempt whose upstream was up or not when its connection broke.
+func connectionEnded(up bool) *core.Failure {
+	f := connectionBroken()
+	f.UpstreamEnded = !up
+	return f
+}
+
 // heartbeatInterval is the time between two announcements of an upstream.
 const heartbeatInterval = 500 * time.Millisecond
 
--- a/core/harness/service.go
+++ b/core/harness/service.go
@@ -86,6 +86,9 @@
 // coldFor returns how much longer the service is cold.
 func (s *Service) coldFor() time.Duration { return max(0, s.coldUntil.Sub(s.upstreams.run.Now)) }
 
+// Crash ends the service's process; the calls that it runs fail at the end of their time.
+func (s *Service) Crash() { s.Up = false }
+
 // Restart starts a new incarnation of the service, which is cold for ColdTime. Its calls are lost.
 func (s *Service) Restart() {
 	s.Up = true
@@ -122,6 +125,11 @@
 			s.ColdArrivals = append(s.ColdArrivals, f.run.Now)
 		}
 		incarnation := s.incarnation
+		if f.DeadlyContent[x.ContentHash] {
+			f.Crashes++
+			s.Crash()
+			f.run.After(crashTime, s.Restart)
+		}
 		s.start(func() {
 			f.CallCounts[x.Content]++
 			ended := core.CallEnded{
@@ -132,7 +140,7 @@
 				ended.Statement.ColdFor, ended.Statement.ColdStated = coldFor, true
 			}
 			if s.DropResponses || !s.Up || s.incarnation != incarnation {
-				ended = core.CallEnded{Attempt: a.Attempt, Failure: connectionBroken()}
+				ended = core.CallEnded{Attempt: a.Attempt, Failure: connectionEnded(s.Up)}
 			}
 			f.after(x, f.NetworkDelay, func() { f.post(x, ended) })
 		})
