core/quarantine, core/entry: a request that crashes its upstreams is stopped, whatever its ID and pool

Cause: only prompts were quarantined, by their parts. Calls of plain services have none, so each repeat was an unrelated request. The class is a request that moves on after it has destroyed what ran it; the same cause stood in streams whose parts are all known to be sound, in calls on the project's own interface, and in prefills.

Ruled out: retries within one client attempt. The log line upstreamEnded showed one fingerprint on most lines, mostly at first attempts.

Change: entry hosts report the fingerprints of requests that an upstream ended with, and of those that were complete. After three crashes without a complete response in between the request is refused at once on all hosts, as not executed. Crashes that only one request saw no longer make the parts of its prompt suspect. A request whose two upstreams crashed is not sent to a third, calls too. Replicas keep crashes and quarantines while entry hosts restart.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -67,6 +67,8 @@
 	priorityRanks map[core.PoolID]map[core.PriorityKey]core.Priority
 	// quarantined are sets of prompt parts; a request with all parts of a set must not reach an engine.
 	quarantined [][]uint64
+	// quarantinedRequests are the fingerprints of requests that must not reach an upstream.
+	quarantinedRequests map[uint64]bool
 }
 
 func init() { core.Register(Plugin(false)) }
@@ -149,7 +151,10 @@
 		c.hasUpstreams = e.Count > 0
 		c.publishState(t)
 	case core.QuarantineChanged:
-		c.quarantineChanged(t, e.PromptParts)
+		c.quarantined = e.PromptParts
+		c.refuseWaitingQuarantined(t)
+	case core.RequestQuarantineChanged:
+		c.requestQuarantineChanged(t, e.Fingerprints)
 	case core.LameDuck:
 		c.lameDuck = true
 		c.shutDown(t.Now, e.EndsAt, e.LongUntil)
@@ -207,12 +212,12 @@
 // start admits a request that arrived at the given time and asks for its quota, or refuses it.
 func (c *component) start(t *core.Turn, r core.Request, arrived time.Time) {
 	a, f := c.admit(t, &r, arrived)
-	rq := &request{Request: r, admission: a, stage: stageQuota, arrivedAt: arrived, heapIndex: -1}
+	rq := &request{Request: r, admission: a, fingerprint: r.Fingerprint(), stage: stageQuota, arrivedAt: arrived, heapIndex: -1}
 	if f == nil && !c.accepts(rq, t.Now) {
 		f = core.Fail(core.KindNotReady, "the host is shutting down and could end before the response is complete")
 	}
 	if f == nil {
-		f = c.quarantineFailure(&r)
+		f = c.quarantineFailure(rq)
 	}
 	if f == nil && c.requests[r.ID] != nil {
 		f = core.Fail(core.KindBadRequest, "a request with this ID is in progress")
@@ -316,6 +321,9 @@
 
 func (c *component) startCall(t *core.Turn, r *request) {
 	m := &r.grant
+	if c.refuseQuarantined(t, r) {
+		return
+	}
 	if f := c.departureFailure(t.Now, r, decodeDeparture(m)); f != nil {
 		c.rejectDeparture(t, r, f)
 		return
@@ -359,7 +367,9 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stagePrefill {
 		return
 	}
-	c.logEnd(t, r, r.grant.Prefill, e.Failure)
+	if e.Failure != nil && e.Failure.UpstreamEnded {
+		c.upstreamCrashed(t, r, r.grant.Prefill, e.Failure)
+	}
 	if e.Failure != nil && r.route.Streaming && wasRefused(e.Failure) && !c.retryBucketOf(r.pool).spend(c.retryPolicy, c.maxEntryHosts) {
 		c.attemptFailed(t, r, e.Failure, r.grant.Prefill)
 		return
@@ -396,8 +406,7 @@
 
 // startDecode starts the stream from the KV cache of a prefill, or from the prompt if there is none.
 func (c *component) startDecode(t *core.Turn, r *request) {
-	if f := c.quarantineFailure(&r.Request); f != nil {
-		c.refuseQuarantined(t, r, f)
+	if c.refuseQuarantined(t, r) {
 		return
 	}
 	if f := c.departureFailure(t.Now, r, decodeDeparture(&r.grant)); f != nil {
@@ -435,7 +444,6 @@
 	tokensBefore := r.relayedTokens
 	r.relayedTokens = e.RelayedTokens
 	c.reportStream(t, r, &e, tokensBefore)
-	c.logEnd(t, r, r.grant.Decode, e.Failure)
 	if e.Failure == nil {
 		r.mayHaveRun = true
 		c.sendRelease(t, r, core.PlacementRelease{FirstTokenLatency: r.firstTokenLatency})
@@ -496,7 +504,7 @@
 	if r == nil || r.attemptID() != e.Attempt || r.stage != stageCall {
 		return
 	}
-	c.logEnd(t, r, r.grant.Decode, e.Failure)
+	c.reportCall(t, r, e.Failure)
 	if e.Failure != nil {
 		c.attemptFailed(t, r, e.Failure, r.grant.Decode)
 		return
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -58,7 +58,7 @@
 // retry starts another attempt after a failed one and reports whether it did: the request must permit it and the retry
 // budget must not be exhausted.
 func (c *component) retry(t *core.Turn, r *request, f *core.Failure, failed core.UpstreamID) bool {
-	if r.crashesAtStart >= maxCrashesAtStart || c.quarantineFailure(&r.Request) != nil {
+	if r.crashes >= maxCrashes || c.quarantineFailure(r) != nil {
 		return false
 	}
 	if r.mayTryElsewhere(f) {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -90,9 +90,10 @@
 	relayedTokens      core.Tokens
 	enginePromptTokens core.Tokens
 	reconnectCount     int
-	// crashesAtStart counts the attempts whose engine crashed when the response began.
-	crashesAtStart int
-	arrivedAt      time.Time
+	// crashes counts the attempts whose upstream crashed when it began to execute the request, which fingerprint identifies.
+	crashes     int
+	fingerprint uint64
+	arrivedAt   time.Time
 	// startedAt is when the first attempt was started.
 	startedAt time.Time
 	// decodeStartedAt is when the attempt's decode started; firstTokenLatency is the time from then to its first token.
--- a/core/events.go
+++ b/core/events.go
@@ -83,6 +83,8 @@
 type StreamCrashed struct {
 	Upstream    UpstreamID
 	PromptParts []uint64
+	// Fingerprint is that of the request, or zero if it is not known.
+	Fingerprint uint64
 }
 
 // QuarantineChanged is the event that other quarantines than before are in force: a request whose prompt has all parts of one
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -37,7 +37,7 @@
 	KindInternal
 	// KindMisdirected means that an upstream has a different identity or role than announced.
 	KindMisdirected
-	// KindQuarantined means that a part of the prompt has crashed engines.
+	// KindQuarantined means that the request, or a part of its prompt, has crashed upstreams.
 	KindQuarantined
 	// KindUnreachable means that no connection to the upstream could be opened, so that no byte of the request reached it.
 	KindUnreachable
--- a/core/message.go
+++ b/core/message.go
@@ -537,6 +537,10 @@
 	UpstreamRefusal  *UpstreamRefusal  `cbor:"upstreamRefusal,omitempty"`
 	// UpstreamLeaving is an upstream that said in a response that it is leaving.
 	UpstreamLeaving *UpstreamDeregistered `cbor:"upstreamLeaving,omitempty"`
+	// Hosts of earlier versions drop items with the following fields, which they don't know.
+	RequestCrash      *RequestCrash      `cbor:"requestCrash,omitempty"`
+	RequestSound      *RequestSound      `cbor:"requestSound,omitempty"`
+	RequestQuarantine *RequestQuarantine `cbor:"requestQuarantine,omitempty"`
 	// PoolPressure is unknown to hosts of earlier versions, which drop the item and place their own calls.
 	PoolPressure *PoolPressure `cbor:"poolPressure,omitempty"`
 }
@@ -561,6 +565,8 @@
 type PromptCrash struct {
 	Upstream UpstreamID `cbor:"upstream"`
 	Parts    []uint64   `cbor:"parts"`
+	// Fingerprint is that of the request, or zero if it is not known.
+	Fingerprint uint64 `cbor:"request,omitempty"`
 }
 
 // PromptSound is a prompt part that was in a complete response and that crashes had made suspect.
@@ -574,14 +580,17 @@
 	Remaining time.Duration `cbor:"remaining"`
 }
 
-// QuarantineList tells another host which quarantines are in force.
+// QuarantineList tells another host which quarantines are in force, and which crashes may lead to others.
 type QuarantineList struct {
-	Quarantines []PromptQuarantine `cbor:"quarantines"`
+	Quarantines []PromptQuarantine  `cbor:"quarantines"`
+	Requests    []RequestQuarantine `cbor:"requests,omitempty"`
+	Crashes     []RequestCrash      `cbor:"crashes,omitempty"`
 }
 
-// SoundParts is the response to a QuarantineList: the parts in it that have been in complete responses.
+// SoundParts is the response to a QuarantineList: what in it has been in complete responses.
 type SoundParts struct {
-	Parts []uint64 `cbor:"parts"`
+	Parts    []uint64 `cbor:"parts"`
+	Requests []uint64 `cbor:"requests,omitempty"`
 }
 
 // UpstreamListRequest asks for the complete list, because a change of it was lost.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -42,6 +42,9 @@
 type crash struct {
 	engine core.UpstreamID
 	at     time.Time
+	// request is the fingerprint of the only request with the part that saw the crash, or zero if there are several or it is
+	// not known.
+	request uint64
 }
 
 // suspect is a part of streams that ended by a crash before they had produced more than an event.
@@ -70,6 +73,7 @@
 	announced map[uint64]time.Time
 	// reports counts this host's reports of the latest crash of each engine.
 	reports   map[core.UpstreamID]*reportCount
+	requests  requests
 	newcomers core.Newcomers
 	// peers are the other entry hosts, replicas the other hosts with a data directory. Replicas keep the quarantines while all
 	// entry hosts restart.
@@ -96,7 +100,7 @@
 func newComponent(env core.Env) core.Component {
 	c := &component{
 		self: env.Self, isReplica: env.Disk != "", rand: env.Rand, suspects: map[uint64]*suspect{}, sound: map[uint64]time.Time{}, announced: map[uint64]time.Time{},
-		reports: map[core.UpstreamID]*reportCount{},
+		reports: map[core.UpstreamID]*reportCount{}, requests: newRequests(),
 	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
@@ -109,6 +113,10 @@
 		c.streamCompleted(t, e.PromptParts)
 	case core.StreamCrashed:
 		c.streamCrashed(t, e)
+	case core.RequestCompleted:
+		c.requestCompleted(t, e.Fingerprint)
+	case core.RequestCrashed:
+		c.requestCrashed(t, e)
 	case core.ObservationReceived:
 		c.observationReceived(t, e.Item)
 	case core.MembersChanged:
@@ -116,6 +124,7 @@
 	case core.Tick:
 		if core.Due(c.compareAt, t.Now) {
 			c.compareSuspects(t)
+			c.compareRequests(t)
 		}
 		if core.Due(c.nextCheck, t.Now) {
 			c.check(t)
@@ -128,6 +137,9 @@
 			for _, p := range m.Parts {
 				c.clear(t, p, "a response was complete on "+string(e.From))
 			}
+			for _, fingerprint := range m.Requests {
+				c.clearRequest(t, fingerprint, "a response was complete on "+string(e.From))
+			}
 		}
 	}
 }
@@ -194,13 +206,7 @@
 // streamCrashed records the parts of a stream of this host that ended by a crash, and reports those that are not known to be
 // sound.
 func (c *component) streamCrashed(t *core.Turn, e core.StreamCrashed) {
-	r := c.reports[e.Upstream]
-	if r == nil || t.Now.Sub(r.since) >= minRestart {
-		r = &reportCount{since: t.Now}
-		maps.DeleteFunc(c.reports, func(_ core.UpstreamID, r *reportCount) bool { return t.Now.Sub(r.since) >= minRestart })
-		c.reports[e.Upstream] = r
-	}
-	if r.count++; r.count > maxReportsPerCrash {
+	if !mayReport(c.reports, e.Upstream, t.Now, maxReportsPerCrash) {
 		return
 	}
 	var parts []uint64
@@ -212,13 +218,26 @@
 	if len(parts) == 0 {
 		return
 	}
-	t.Post(core.ShareObservation{Observation: core.Observation{PromptCrash: &core.PromptCrash{Upstream: e.Upstream, Parts: parts}}})
-	c.addCrash(t, e.Upstream, parts)
+	report := core.PromptCrash{Upstream: e.Upstream, Parts: parts, Fingerprint: e.Fingerprint}
+	t.Post(core.ShareObservation{Observation: core.Observation{PromptCrash: &report}})
+	c.addCrash(t, &report)
+}
+
+// mayReport counts a report of an upstream's crash and reports whether it is within the limit.
+func mayReport(reports map[core.UpstreamID]*reportCount, upstream core.UpstreamID, now time.Time, limit int) bool {
+	r := reports[upstream]
+	if r == nil || now.Sub(r.since) >= minRestart {
+		r = &reportCount{since: now}
+		maps.DeleteFunc(reports, func(_ core.UpstreamID, r *reportCount) bool { return now.Sub(r.since) >= minRestart })
+		reports[upstream] = r
+	}
+	r.count++
+	return r.count <= limit
 }
 
 // addCrash records a crash against parts and reports whether it changed what this host knows of a part.
-func (c *component) addCrash(t *core.Turn, engine core.UpstreamID, parts []uint64) (changed bool) {
-	for _, p := range parts {
+func (c *component) addCrash(t *core.Turn, report *core.PromptCrash) (changed bool) {
+	for _, p := range report.Parts {
 		if c.isSound(p, t.Now) {
 			c.announceSound(t, p)
 			continue
@@ -232,8 +251,15 @@
 			c.suspects[p] = s
 		}
 		s.crashes = slices.DeleteFunc(s.crashes, func(x crash) bool { return t.Now.Sub(x.at) >= crashTTL })
-		x := crash{engine: engine, at: t.Now}
-		if len(s.crashes) >= maxCrashes || s.saw(x) {
+		x := crash{engine: report.Upstream, at: t.Now, request: report.Fingerprint}
+		if i := s.indexOf(x); i >= 0 {
+			if y := &s.crashes[i]; y.request != 0 && y.request != x.request {
+				y.request, changed = 0, true
+				c.compareAt = core.Earlier(c.compareAt, t.Now.Add(settleTime))
+			}
+			continue
+		}
+		if len(s.crashes) >= maxCrashes {
 			continue
 		}
 		s.crashes = append(s.crashes, x)
@@ -245,8 +271,17 @@
 }
 
 // saw reports whether a crash is one that the part is suspected by already.
-func (s *suspect) saw(x crash) bool {
-	return slices.ContainsFunc(s.crashes, func(y crash) bool { return x.engine == y.engine && x.at.Sub(y.at).Abs() < minRestart })
+func (s *suspect) saw(x crash) bool { return s.indexOf(x) >= 0 }
+
+// indexOf returns the index of a crash that the part is suspected by already, or -1.
+func (s *suspect) indexOf(x crash) int {
+	return slices.IndexFunc(s.crashes, func(y crash) bool { return x.engine == y.engine && x.at.Sub(y.at).Abs() < minRestart })
+}
+
+// isOneRequest reports whether all crashes were seen by one request alone, which may be the cause itself.
+func (s *suspect) isOneRequest() bool {
+	first := s.crashes[0].request
+	return first != 0 && !slices.ContainsFunc(s.crashes, func(x crash) bool { return x.request != first })
 }
 
 // compareSuspects quarantines the parts that crashes are put down to.
@@ -266,7 +301,7 @@
 // isGuilty reports whether enough crashes are put down to a part.
 func (c *component) isGuilty(p uint64) bool {
 	s := c.suspects[p]
-	if len(s.crashes) < crashThreshold {
+	if len(s.crashes) < crashThreshold || s.isOneRequest() {
 		return false
 	}
 	engines := map[core.UpstreamID]bool{}
@@ -321,11 +356,16 @@
 	c.log(t, "quarantine", q.parts, reason)
 	c.publish(t)
 	c.schedule(t.Now)
+	c.tellReplicas(t)
+	return true
+}
+
+// tellReplicas sends the list to a few replicas, which keep it while all entry hosts restart.
+func (c *component) tellReplicas(t *core.Turn) {
 	first := c.rand.IntN(len(c.replicas) + 1)
 	for n := range min(toldReplicas, len(c.replicas)) {
 		c.sendQuarantine(t, c.replicas[(first+n)%len(c.replicas)])
 	}
-	return true
 }
 
 // isSubset reports whether all parts of a are in b.
@@ -344,13 +384,19 @@
 	news := false
 	switch o := item.Observation; {
 	case o.PromptCrash != nil:
-		news = c.addCrash(t, o.PromptCrash.Upstream, o.PromptCrash.Parts)
+		news = c.addCrash(t, o.PromptCrash)
 	case o.PromptSound != nil:
 		// Only this host's own responses make a part sound here; what hosts hear of each other would never be forgotten.
 		news = c.suspects[o.PromptSound.Part] != nil
 		c.clear(t, o.PromptSound.Part, "a response was complete on "+string(item.ID.Host))
 	case o.PromptQuarantine != nil:
 		news = c.adopt(t, *o.PromptQuarantine, item.ID.Host)
+	case o.RequestCrash != nil:
+		news = c.addRequestCrash(t, o.RequestCrash)
+	case o.RequestSound != nil:
+		news = c.soundRequestHeard(t, o.RequestSound.Fingerprint, item.ID.Host)
+	case o.RequestQuarantine != nil:
+		news = c.adoptRequest(t, *o.RequestQuarantine, item.ID.Host)
 	}
 	if news {
 		t.Post(core.PassOn{Item: item})
@@ -394,17 +440,26 @@
 
 // handleList adopts another host's quarantines and tells it which of their parts are sound.
 func (c *component) handleList(t *core.Turn, from core.HostID, m core.QuarantineList) {
-	var sound []uint64
+	var sound core.SoundParts
 	for _, q := range m.Quarantines {
 		c.adopt(t, q, from)
 		for _, p := range q.Parts {
 			if c.isSound(p, t.Now) {
-				sound = append(sound, p)
+				sound.Parts = append(sound.Parts, p)
 			}
 		}
 	}
-	if len(sound) > 0 {
-		t.Send(from, core.SoundParts{Parts: sound})
+	for _, q := range m.Requests {
+		c.adoptRequest(t, q, from)
+		if c.requests.completed.has(q.Fingerprint, t.Now) || c.requests.heardSound.isWithin(q.Fingerprint, soundTTL, t.Now) {
+			sound.Requests = append(sound.Requests, q.Fingerprint)
+		}
+	}
+	for i := range m.Crashes {
+		c.addRequestCrash(t, &m.Crashes[i])
+	}
+	if len(sound.Parts)+len(sound.Requests) > 0 {
+		t.Send(from, sound)
 	}
 }
 
@@ -432,7 +487,8 @@
 			m.Quarantines = append(m.Quarantines, core.PromptQuarantine{Parts: q.parts, Remaining: q.until.Sub(t.Now)})
 		}
 	}
-	if len(m.Quarantines) > 0 {
+	c.listRequests(t.Now, &m)
+	if len(m.Quarantines)+len(m.Requests)+len(m.Crashes) > 0 {
 		t.Send(to, m)
 	}
 }
@@ -455,6 +511,7 @@
 	if len(c.quarantines) < before {
 		c.publish(t)
 	}
+	c.checkRequests(t)
 	if len(c.peers) > 0 {
 		c.sendQuarantine(t, c.peers[c.rand.IntN(len(c.peers))])
 	}
@@ -471,7 +528,7 @@
 
 // schedule sets the time of the next check, if there are suspects and none is set.
 func (c *component) schedule(now time.Time) {
-	if len(c.suspects) == 0 {
+	if len(c.suspects)+len(c.requests.suspects) == 0 {
 		c.nextCheck = time.Time{}
 	} else if !now.Before(c.nextCheck) {
 		c.nextCheck = now.Add(checkInterval)
@@ -494,4 +551,5 @@
 func (c *component) gauges(set func(string, int64)) {
 	set("quarantines", int64(len(c.quarantines)))
 	set("suspects", int64(len(c.suspects)))
+	set("suspectRequests", int64(len(c.requests.suspects)))
 }
--- a/core/validate.go
+++ b/core/validate.go
@@ -202,7 +202,7 @@
 
 func (o *Observation) validate() error {
 	set := 0
-	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil, o.UpstreamLeaving != nil, o.UpstreamRefusal != nil, o.PoolPressure != nil} {
+	for _, isSet := range []bool{o.UpstreamFailure != nil, o.PromptCrash != nil, o.PromptSound != nil, o.PromptQuarantine != nil, o.UpstreamLimit != nil, o.UpstreamLeaving != nil, o.UpstreamRefusal != nil, o.PoolPressure != nil, o.RequestCrash != nil, o.RequestSound != nil, o.RequestQuarantine != nil} {
 		if isSet {
 			set++
 		}
@@ -224,6 +224,10 @@
 		return o.UpstreamLeaving.Validate()
 	case o.PoolPressure != nil:
 		return o.PoolPressure.validate()
+	case o.RequestCrash != nil:
+		return o.RequestCrash.validate()
+	case o.RequestQuarantine != nil:
+		return o.RequestQuarantine.validate()
 	}
 	return nil
 }
@@ -298,6 +302,16 @@
 			return err
 		}
 	}
+	for i := range m.Requests {
+		if err := m.Requests[i].validate(); err != nil {
+			return err
+		}
+	}
+	for i := range m.Crashes {
+		if err := m.Crashes[i].validate(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -68,7 +68,11 @@
 		UpstreamFailure: &core.UpstreamFailure{Pool: "p", Upstream: "u", Incarnation: 2},
 	}}},
 	core.SoundParts{Parts: []uint64{1, 2}},
-	core.QuarantineList{Quarantines: []core.PromptQuarantine{{Parts: []uint64{7}, Remaining: time.Minute}}},
+	core.QuarantineList{
+		Quarantines: []core.PromptQuarantine{{Parts: []uint64{7}, Remaining: time.Minute}},
+		Requests:    []core.RequestQuarantine{{Fingerprint: 8, Remaining: time.Minute}},
+		Crashes:     []core.RequestCrash{{Fingerprint: 9, Upstream: "e1", Incarnation: 3, Age: time.Second}},
+	},
 	core.UpstreamLimits{Limits: []core.UpstreamLimit{{Pool: "p", Upstream: "u", Incarnation: 2, RateLimit: 1.5, Age: time.Second, SinceSent: time.Minute}}, Cold: []core.ColdUpstream{{Pool: "p", Upstream: "v", ColdFor: time.Second}}, NewDispatcher: true},
 }
 
--- a/io/upstream/engine.go
+++ b/io/upstream/engine.go
@@ -157,7 +157,7 @@
 	}
 	r, f := c.roundTrip(addr, req, tokenTimeout, false)
 	if f != nil {
-		return DecodeResult{Failure: f, ConnectionLost: !f.NotExecuted}
+		return DecodeResult{Failure: f, ConnectionLost: !f.NotExecuted, RemoteClosed: f.UpstreamEnded}
 	}
 	statement := Statement(request.Upstream, &r.header)
 	if r.header.StatusCode() != fasthttp.StatusOK {
