--- a/core/quarantine/requests.go
+++ b/core/quarantine/requests.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxQuarantineTime limits the quarantine of a request. Each crash after the end of one doubles the next.
+	// maxQuarantineTime limits the quarantine of a request. Each crash after the end of one doubles the next, maxDoublings times at
+	// most.
 	maxQuarantineTime = time.Hour
+	maxDoublings      = 4
 	// maxCompleted limits each generation of the complete requests that are remembered.
 	maxCompleted = 8192
 	// maxRequestReports limits the requests that a host reports for the crash of one upstream.
@@ -163,7 +165,7 @@
 		if s.isQuarantined || !s.isDeadly() {
 			continue
 		}
-		remaining := min(maxQuarantineTime, quarantineTime<<min(s.quarantines, maxCrashes))
+		remaining := min(maxQuarantineTime, quarantineTime<<min(s.quarantines, maxDoublings))
 		reason := fmt.Sprintf("%d upstreams ended with it and none has completed it", len(s.crashes))
 		if c.quarantineRequest(t, fingerprint, remaining, reason) {
 			q := core.RequestQuarantine{Fingerprint: fingerprint, Remaining: remaining}
