core, platform: the log names the software version of upstreams, and which stream a caller takes up

The log told neither the version of an upstream nor that a request takes up a stream, so that the ways on could not be told apart.

Change: no decision. Announcements carry the software version, and lines of the registry and of placements name it.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -161,9 +161,9 @@
 	if r.grant.Prefill != "" {
 		target = string(r.grant.Prefill) + ">" + target
 	}
-	age := time.Duration(0)
+	age, software := time.Duration(0), core.SoftwareVersion("")
 	if u := p.upstreams[r.grant.Decode]; u != nil {
-		age = now.Sub(u.lastSeen)
+		age, software = now.Sub(u.lastSeen), u.SoftwareVersion
 	}
 	return core.Decision{
 		Component: "dispatch", Choice: "place", Age: age,
@@ -171,5 +171,6 @@
 		Request: r.request.Attempt.Request, Attempt: r.request.Attempt.Number, Account: r.request.Account,
 		Pool:   r.request.Pool,
 		Target: target, Score: chosen.score, Alternatives: chosen.alternatives, Forecast: item.Forecast.Wait,
+		Software: software,
 	}
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"oleanderlever/core"
@@ -233,6 +234,12 @@
 		Component: "entry", Choice: "admit", Reason: "permitted by the configuration", Request: r.ID, Account: a.account.ID,
 		Pool: a.pool, PromptTokens: r.PromptTokens, MaxTokens: a.outputLimit, Version: c.config.Version,
 	})
+	if r.Continues {
+		t.LogDecision(core.Decision{
+			Component: "entry", Choice: "continue", Reason: "the caller has the first events of " + strconv.Quote(string(r.Origin)), Request: r.ID,
+			Pool: a.pool,
+		})
+	}
 	c.requests[r.ID] = rq
 	c.schedule(rq)
 	if a.account.ID == "" || a.account.Unlimited || a.cost == 0 {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -137,7 +137,7 @@
 	r.toldCold = r.coldUntil()
 	t.LogDecision(core.Decision{
 		Component: "registry", Choice: "heard", Reason: changeReason(&a), Pool: a.Pool, Target: string(a.ID),
-		Score: float64(a.Seq),
+		Score: float64(a.Seq), Software: a.SoftwareVersion,
 	})
 	c.broadcastChange(t, core.UpstreamList{Seen: []core.SeenUpstream{r.describe(t.Now)}})
 }
--- a/core/request.go
+++ b/core/request.go
@@ -28,6 +28,10 @@
 	PrefixHashes []uint64
 	// PromptParts identify the parts of the prompt that other requests may have too, at most MaxPromptParts.
 	PromptParts []uint64
+	// Continues is true if the caller has received events of an earlier attempt and asks for the ones that follow. Origin is the ID
+	// of the attempt that brought the first event, or empty if the caller does not name it.
+	Continues bool
+	Origin    RequestID
 	// IdempotencyKey is the value of the Idempotency-Key header, or empty.
 	IdempotencyKey string
 	// ContentHash is a hash of method, path, query and body, and the same each time that a caller sends a request again. It also
@@ -237,6 +241,8 @@
 	// Forecast is when a queued attempt was expected to start, RetryAfter when the caller of a refused one should come back.
 	Forecast   time.Duration `json:"forecast,omitempty"`
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Software is the software version of Target.
+	Software SoftwareVersion `json:"software,omitempty"`
 	// Fingerprint is that of the request in hexadecimal.
 	Fingerprint string `json:"fingerprint,omitempty"`
 	// Alternatives are some of the candidates that were not chosen.
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -22,6 +22,9 @@
 // CanDecode reports whether upstreams of this role accept decodes.
 func (r Role) CanDecode() bool { return r == RoleDecode || r == RoleBoth }
 
+// SoftwareVersion names the version of an upstream's software. Versions have no order.
+type SoftwareVersion string
+
 // Announcement registers an upstream; it is repeated as a heartbeat.
 type Announcement struct {
 	ID         UpstreamID     `cbor:"id"         json:"id"`
@@ -47,6 +50,9 @@
 	// ModelVersion names the loaded model weights and Adapter what is loaded on top of them.
 	ModelVersion string `cbor:"version" json:"version"`
 	Adapter      string `cbor:"adapter" json:"adapter"`
+	// SoftwareVersion names the software that serves the model. It is empty for an upstream that does not say, and from a host of
+	// an earlier version.
+	SoftwareVersion SoftwareVersion `cbor:"software,omitempty" json:"softwareVersion,omitempty"`
 	// ColdFor is how much longer the upstream stays cold, counted from when the announcement was made; ColdStated is true if the
 	// upstream says whether it is cold. Hosts of earlier versions send neither.
 	ColdFor    time.Duration `cbor:"coldFor,omitempty"    json:"coldFor,omitempty"`
@@ -54,8 +60,10 @@
 }
 
 const (
-	maxSlots       = 1 << 16
-	maxMemoryPages = 1 << 24
+	maxSlots = 1 << 16
+	// maxVersionBytes limits the name of a software version.
+	maxVersionBytes = 256
+	maxMemoryPages  = 1 << 24
 	// maxSequence limits incarnations, which are times in milliseconds, and sequence numbers: above it, no later announcement
 	// could follow. Every JSON parser represents it exactly.
 	maxSequence = 1 << 53
@@ -81,6 +89,9 @@
 	if a.Incarnation > maxSequence || a.Seq > maxSequence {
 		return Fail(KindBadRequest, "incarnation or seq is out of range")
 	}
+	if len(a.SoftwareVersion) > maxVersionBytes {
+		return Fail(KindBadRequest, "softwareVersion is longer than %d bytes", maxVersionBytes)
+	}
 	if a.ColdFor < 0 || a.ColdFor > MaxStatedColdTime {
 		return Fail(KindBadRequest, "coldFor is out of range")
 	}
--- a/io/telemetry/peer.go
+++ b/io/telemetry/peer.go
@@ -96,6 +96,9 @@
 	if d.Status > 0 {
 		e = e.Int("status", d.Status)
 	}
+	if d.Software != "" {
+		e = e.Str("software", string(d.Software))
+	}
 	if d.Fingerprint != "" {
 		e = e.Str("fingerprint", d.Fingerprint)
 	}
