--- a/core/harness/engine.go
+++ b/core/harness/engine.go
@@ -32,6 +32,8 @@
 	ReportLossRate float64
 	// CacheBlocks is the capacity of the prefix cache in blocks.
 	CacheBlocks int
+	// SoftwareVersion is the version of the engine's software. A response with tokens of two versions is a violation.
+	SoftwareVersion core.SoftwareVersion
 }
 
 // Engine is a fake model engine.
@@ -160,7 +162,7 @@
 	}
 	e.upstreams.sendToRandomHost(core.UpstreamAnnounced{Announcement: core.Announcement{
 		ID: e.ID, Pool: e.Pool, Role: e.Role, Addr: upstreamAddr(e.index, 1), Incarnation: e.incarnation, Slots: e.Slots, MemoryPages: e.Pages,
-		ChecksFencing: true, DataCentre: e.DataCentre,
+		ChecksFencing: true, DataCentre: e.DataCentre, SoftwareVersion: e.SoftwareVersion,
 	}})
 	e.seq++
 	r := core.LoadReport{ID: e.ID, Pool: e.Pool, Incarnation: e.incarnation, Seq: e.seq, Attempts: e.ActiveAttempts(), StoredBlocks: e.storedBlocks, EvictedBlocks: e.evictedBlocks}
@@ -369,6 +371,15 @@
 	e.upstreams.run.After(crashTime, e.Restart)
 }
 
+// recordVersion records that a response has tokens of the engine's software version.
+func (e *Engine) recordVersion(s *stream) {
+	x := s.exchange
+	if x.hasVersion && x.version != e.SoftwareVersion {
+		e.upstreams.addViolation("%s has tokens of software versions %q and %q", x.ID, x.version, e.SoftwareVersion)
+	}
+	x.version, x.hasVersion = e.SoftwareVersion, true
+}
+
 // firstToken reports the first token of a stream.
 func (e *Engine) firstToken(s *stream, a core.AttemptID) {
 	if s.ended || s.outputTokens == 0 {
@@ -396,6 +407,9 @@
 	s.ended = true
 	e.freeStream(a, s)
 	e.upstreams.after(s.exchange, e.upstreams.NetworkDelay, func() {
+		if s.outputTokens > 0 {
+			e.recordVersion(s)
+		}
 		s.exchange.RelayedTokens = s.baseTokens + s.outputTokens
 		s.exchange.lastTokenAt = e.upstreams.run.Now
 	})
@@ -417,6 +431,7 @@
 // breakConnection delivers the generated tokens to the caller and reports the connection as lost.
 func (e *Engine) breakConnection(a core.AttemptID, s *stream) {
 	if n := s.baseTokens + e.generatedTokens(s); n > s.exchange.RelayedTokens {
+		e.recordVersion(s)
 		s.exchange.RelayedTokens = n
 		s.exchange.lastTokenAt = e.upstreams.run.Now
 	}
--- a/core/harness/fakes.go
+++ b/core/harness/fakes.go
@@ -43,6 +43,9 @@
 	AttemptsRun    int
 	lastTokenAt    time.Time
 	hostGeneration int
+	// version is the software version of the engine that sent the last token, if hasVersion is set.
+	version    core.SoftwareVersion
+	hasVersion bool
 }
 
 // MaxTokenGap is the target time between two tokens.
