core/quarantine: the parts of one request's prompt stay suspect unless the request itself is deadly

Cause: crashes that one request saw alone were not put down to its parts, and the request was not found either, since no upstream had ended.

Change: they are not put down to the parts only if they are put down to the request. TestPartsAreSuspectWhereTheRequestIsNot guards this.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -278,10 +278,14 @@
 	return slices.IndexFunc(s.crashes, func(y crash) bool { return x.engine == y.engine && x.at.Sub(y.at).Abs() < minRestart })
 }
 
-// isOneRequest reports whether all crashes were seen by one request alone, which may be the cause itself.
-func (s *suspect) isOneRequest() bool {
-	first := s.crashes[0].request
-	return first != 0 && !slices.ContainsFunc(s.crashes, func(x crash) bool { return x.request != first })
+// isOneDeadlyRequest reports whether all crashes that a part is suspected by were seen by one request alone, and are put down to that.
+func (c *component) isOneDeadlyRequest(s *suspect) bool {
+	fingerprint := s.crashes[0].request
+	if fingerprint == 0 || slices.ContainsFunc(s.crashes, func(x crash) bool { return x.request != fingerprint }) {
+		return false
+	}
+	r := c.requests.suspects[fingerprint]
+	return r != nil && (r.isQuarantined || r.isDeadly())
 }
 
 // compareSuspects quarantines the parts that crashes are put down to.
@@ -301,7 +305,7 @@
 // isGuilty reports whether enough crashes are put down to a part.
 func (c *component) isGuilty(p uint64) bool {
 	s := c.suspects[p]
-	if len(s.crashes) < crashThreshold || s.isOneRequest() {
+	if len(s.crashes) < crashThreshold || c.isOneDeadlyRequest(s) {
 		return false
 	}
 	engines := map[core.UpstreamID]bool{}
--- a/core/quarantine/requests_test.go
+++ b/core/quarantine/requests_test.go
@@ -192,6 +192,7 @@
 	f := newFleet(t, 1, 9, 12)
 	for n := range 5 {
 		f.Post(f.Hosts[n], core.StreamCrashed{Upstream: f.engines[n].id, PromptParts: []uint64{sharedPart}, Fingerprint: deadlyRequest})
+		f.Post(f.Hosts[n], core.RequestCrashed{Upstream: f.engines[n].id, Fingerprint: deadlyRequest})
 		f.RunFor(time.Second)
 	}
 	require.Zero(t, f.refusingHosts(sharedPart))
@@ -200,6 +201,17 @@
 	require.Equal(t, 9, f.refusingHosts(sharedPart), "two requests with the part crashed engines")
 }
 
+// Where engines close their connections when they begin a response but seem to live on, as behind a supervisor that restarts them at
+// once, the request itself is not known to be deadly. The parts of its prompt then are, as before.
+func TestPartsAreSuspectWhereTheRequestIsNot(t *testing.T) {
+	f := newFleet(t, 1, 9, 12)
+	for n := range 3 {
+		f.Post(f.Hosts[n], core.StreamCrashed{Upstream: f.engines[n].id, PromptParts: []uint64{deadlyPart}, Fingerprint: deadlyRequest})
+		f.RunFor(time.Second)
+	}
+	require.Equal(t, 9, f.refusingHosts(deadlyPart))
+}
+
 // A request may crash upstreams under more fingerprints than are tracked. What is remembered is limited and ends.
 func TestTrackedRequestsAreLimited(t *testing.T) {
 	f := newCallFleet(harness.Config{Seed: 1, Hosts: 2, MaxDelay: 5 * time.Millisecond})
