core/origin, core/entry, core/dispatch: a stream goes on at the software version that began it

Cause: nothing knew versions. Retries, reconnections and moves within a response looked for any upstream, a take-up was a new request with a header that was passed through, and who had begun a stream was known only to the host that served it. The class is state of a response that its next part depends on, and that is lost on the way on.

Placements can be restricted to a version, entry hosts check their grants, three replicas remember the version of each stream that may be taken up, and hosts that get a take-up ask for it. A version that is gone or not known ends the stream, as not executed where nothing has run. Where a pool has one version, nothing is restricted. A take-up is placed with the urgency of a retry.

Ruled out: restricting to the versions that serve now, which is wrong right after a release.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -19,7 +19,7 @@
 	DoesNotFit
 	// Unavailable means that the upstreams with room must not be used for this item; another item might still fit.
 	Unavailable
-	// DoesNotFitHere means that no upstream in the regions of this item can take it. What the items behind it take in other
+	// DoesNotFitHere means that no upstream that this item is restricted to can take it. What the items behind it take in other
 	// regions is no use to it.
 	DoesNotFitHere
 	// Full means that no item can be placed now.
--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// refuseGoneVersions refuses the queued attempts of streams whose software version is gone.
+func (c *component) refuseGoneVersions(t *core.Turn, pl *pool) {
+	for _, item := range pl.queue.RemoveWhere(func(item *admission.Item) bool { return pl.lacksVersion(&item.Request, t.Now) }) {
+		c.refuseQueued(t, pl, item, pl.versionGone(&item.Request))
+	}
+}
+
 // refuseQueued refuses an attempt that was removed from the queue for another reason than a forecast.
 func (c *component) refuseQueued(t *core.Turn, pl *pool, item *admission.Item, m core.PlacementRefused) {
 	pl.queue.Counts.ByPriority[item.Level].RefusedLater++
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -54,9 +54,9 @@
 }
 
 // hasNoRoom reports whether no engine has memory for an attempt that a dispatcher places, which is so most of the time under
-// load, without looking at each of them. It is false for attempts that may run in some regions only.
+// load, without looking at each of them. It is false for attempts that only some upstreams may get.
 func (p *pool) hasNoRoom(request *core.PlacementRequest, memory core.Tokens) bool {
-	return !request.PlainService && request.LocalLoad == nil && len(request.Regions) == 0 && p.roomiest.Len() > 0 && memory > p.roomiest.Min().freeMemory
+	return !request.PlainService && request.LocalLoad == nil && !p.isRestricted(request) && p.roomiest.Len() > 0 && memory > p.roomiest.Min().freeMemory
 }
 
 // recordFreed measures what an attempt that has ended frees. One that was refused says nothing about how long the others take,
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -60,7 +60,8 @@
 // enough memory. An upstream in Avoid is selected only if no other fits and the pool has no more decode candidates than
 // Avoid has entries; otherwise the attempt waits for another upstream. A suspected upstream of a plain service is selected
 // if no other has a free slot. An upstream whose rate limit or cold rate is used up is never selected. A bare attempt has no prefill engine
-// and is not given to an engine with a backlog of such prompts. Upstreams outside the regions of the request don't count.
+// and is not given to an engine with a backlog of such prompts. Upstreams outside the regions of the request, or of
+// another software version than its stream, don't count.
 func (p *pool) chooseDecode(item *admission.Item, memory core.Tokens, bare bool, now time.Time) (selection, admission.Result) {
 	var fitting, second, avoided, suspect selection
 	if p.decodeCandidates.Len() > 0 && p.hasNoRoom(&item.Request, memory) {
@@ -75,9 +76,13 @@
 		suspected = p.suspectedUpstreams(item.Request.Repeatable, now)
 	}
 	p.decodeCandidates.AscendIn(item.Request.Regions, func(u *upstream) bool {
-		if examined++; u.reservedSlots >= p.slotLimit(u) || examined > maxExamined {
+		if u.reservedSlots >= p.slotLimit(u) || examined >= maxExamined {
 			return false
 		}
+		if hasOtherVersion(&item.Request, u) {
+			return true
+		}
+		examined++
 		slotFree = true
 		if fitting.best != nil && u.load >= fitting.score {
 			// The candidates are in the order of their load, so no further one is better.
@@ -108,13 +113,13 @@
 	if fitting.best == nil {
 		fitting = suspect
 	}
-	if fitting.best == nil && avoided.best != nil && p.decodeCandidates.LenIn(item.Request.Regions) <= len(item.Request.Avoid) {
+	if fitting.best == nil && avoided.best != nil && !p.hasAlternative(&item.Request) {
 		fitting = avoided
 	}
 	switch {
 	case fitting.best != nil:
 		return fitting, admission.Placed
-	case len(item.Request.Regions) > 0:
+	case p.isRestricted(&item.Request):
 		return fitting, admission.DoesNotFitHere
 	case roomMissing:
 		return fitting, admission.DoesNotFit
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -114,6 +114,8 @@
 		c.forward(t, e.Announcement.Pool, core.UpstreamUpdate{Announcement: &e.Announcement})
 	case core.UpstreamReported:
 		c.forward(t, e.Report.Pool, core.UpstreamUpdate{Report: &e.Report})
+	case core.FindSoleVersion:
+		c.soleVersion(t, e)
 	case core.UpstreamStated:
 		c.upstreamStated(t, e)
 	case core.CancelEnded:
@@ -217,7 +219,7 @@
 	}
 	announced := *a
 	announced.Leaving = a.Leaving || c.isLeaving(t, a.ID, a.Incarnation)
-	if !c.replaceIncarnation(a) {
+	if !c.replaceIncarnation(a, t.Now) {
 		return
 	}
 	pl := c.pool(t, a.Pool)
@@ -381,6 +383,7 @@
 	unserved := noUpstream || t.Now.Sub(pl.leavingSince) >= onlyLeavingTimeout
 	if !noUpstream {
 		c.refuseOutside(t, pl)
+		c.refuseGoneVersions(t, pl)
 	}
 	c.expire(t, pl, noUpstream, unserved)
 	c.placeQueued(t, pl)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -38,6 +38,10 @@
 		t.Send(from, pl.outside(&m))
 		return
 	}
+	if pl.lacksVersion(&m, t.Now) {
+		t.Send(from, pl.versionGone(&m))
+		return
+	}
 	item := pl.newItem(&m, from, t.Now)
 	if f := pl.tooLarge(&m); f != nil {
 		c.refuseOnArrival(t, pl, item, f)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -74,6 +74,10 @@
 	emptySince   time.Time
 	leavingSince time.Time
 	stockedSince time.Time
+	// versions counts the upstreams by software version. formerVersions has the versions of upstreams that were removed, with the
+	// time of the last one.
+	versions       map[core.SoftwareVersion]int
+	formerVersions map[core.SoftwareVersion]time.Time
 	// regions has the regions of the data centres.
 	regions map[core.DataCentre]core.Region
 	// engine is the configuration of the pool's engines, or nil; kvBlockTokens is the allocation unit of their memory.
@@ -156,6 +160,7 @@
 		),
 		roomiest:        ordered.Heap[*upstream]{Index: func(u *upstream) *int { return &u.roomIndex }, Less: moreFreeMemory},
 		enginesByPrefix: map[uint64][]core.UpstreamID{}, suspicions: map[core.UpstreamID]*suspicion{},
+		versions: map[core.SoftwareVersion]int{}, formerVersions: map[core.SoftwareVersion]time.Time{},
 	}
 }
 
@@ -260,6 +265,7 @@
 	}
 	r.grant.Decode, r.grant.DecodeAddr = decode.best.ID, decode.best.Addr
 	r.grant.DecodeDataCentre, r.grant.DecodeIncarnation = decode.best.DataCentre, decode.best.Incarnation
+	r.grant.DecodeVersion = decode.best.SoftwareVersion
 	r.grant.SingleRequest = decode.best.limit.rate > 0 || decode.best.refusals.isShedding() || p.isCold(decode.best, now)
 	r.grant.Pressure = item.Request.PlainService && p.isPressured(now) && p.isBusy(now)
 	prefill := selection{}
@@ -280,7 +286,7 @@
 		return r, decode, admission.Placed
 	}
 	if prefill.best == nil || prefill.best.busyUntil.Sub(now) > maxPrefillBacklog {
-		if len(item.Request.Regions) > 0 {
+		if p.isRestricted(&item.Request) {
 			// Engines in other regions may be free for other attempts.
 			return nil, prefill, admission.DoesNotFitHere
 		}
@@ -443,7 +449,7 @@
 		p.stockedSince = now
 	}
 	if u == nil || a.Incarnation > u.Incarnation {
-		p.removeUpstream(u)
+		p.removeUpstream(u, now)
 		u = &upstream{
 			Announcement: a,
 			cachedHashes: map[uint64]uint64{}, unreservedSince: map[core.AttemptID]time.Time{},
@@ -451,8 +457,13 @@
 			cold: coldStart{allowance: allowance{tokens: 1, filledAt: now}},
 		}
 		p.upstreams[a.ID] = u
+		p.countVersion(a.SoftwareVersion)
 		p.restoreReservations(u)
 	}
+	if u.SoftwareVersion != a.SoftwareVersion {
+		p.uncountVersion(u.SoftwareVersion, now)
+		p.countVersion(a.SoftwareVersion)
+	}
 	u.misdirected = u.misdirected && a.Seq > 0 && a.Seq == u.Seq
 	// Within an incarnation, a known upstream that is leaving stays leaving, since announcements may arrive late.
 	a.Leaving = a.Leaving || (a.Seq > 0 && u.Leaving)
@@ -513,8 +524,9 @@
 }
 
 // removeUpstream removes an upstream from the pool; nil is ignored.
-func (p *pool) removeUpstream(u *upstream) {
+func (p *pool) removeUpstream(u *upstream, now time.Time) {
 	if u != nil {
+		p.uncountVersion(u.SoftwareVersion, now)
 		p.decodeCandidates.Remove(u)
 		p.prefillCandidates.Remove(u)
 		p.recount(u)
@@ -544,7 +556,7 @@
 		age := now.Sub(u.lastSeen)
 		if p.heartbeatReference(now).Sub(u.lastSeen) >= staleTimeout ||
 			(u.Leaving && age >= staleTimeout) || age >= maxStaleAge {
-			p.removeUpstream(u)
+			p.removeUpstream(u, now)
 		}
 	}
 }
--- a/core/dispatch/upstreamlist.go
+++ b/core/dispatch/upstreamlist.go
@@ -141,7 +141,7 @@
 // replaceIncarnation removes the records that an announcement makes obsolete: those of earlier incarnations in other pools, and
 // those of other upstreams with its address and an earlier incarnation, since addresses are reused. Incarnations must be
 // comparable between upstreams. It returns false if a later incarnation is in another pool.
-func (c *component) replaceIncarnation(a *core.Announcement) bool {
+func (c *component) replaceIncarnation(a *core.Announcement, now time.Time) bool {
 	if pl := c.pools[a.Pool]; pl != nil && pl.upstreams[a.ID] != nil && pl.upstreams[a.ID].Incarnation >= a.Incarnation {
 		return true
 	}
@@ -152,7 +152,7 @@
 		for _, u := range pl.upstreams {
 			sameUpstream := u.ID == a.ID && pl.id != a.Pool
 			if u.Incarnation < a.Incarnation && (sameUpstream || (u.ID != a.ID && u.Addr == a.Addr)) {
-				pl.removeUpstream(u)
+				pl.removeUpstream(u, now)
 			}
 		}
 	}
--- a/core/entry/departure.go
+++ b/core/entry/departure.go
@@ -10,6 +10,9 @@
 type departure struct {
 	id         core.UpstreamID
 	dataCentre core.DataCentre
+	// isDecode is true for the upstream that sends the response, which has the software version.
+	isDecode bool
+	version  core.SoftwareVersion
 	// incarnation is the one that the dispatcher chose, or zero if the dispatcher did not name it.
 	incarnation uint64
 	// resumed is true if the upstream already holds the stream that the request continues.
@@ -29,6 +32,7 @@
 func decodeDeparture(m *core.PlacementGrant) departure {
 	return departure{
 		id: m.Decode, dataCentre: m.DecodeDataCentre, incarnation: m.DecodeIncarnation, counted: m.DecodeCold, first: m.Prefill == "",
+		isDecode: true, version: m.DecodeVersion,
 	}
 }
 
@@ -42,6 +46,9 @@
 	if f := c.regionFailure(r, to); f != nil {
 		return f
 	}
+	if f := c.versionFailure(r, to); f != nil {
+		return f
+	}
 	if f := c.coldFailure(now, r, to); f != nil {
 		return f
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"oleanderlever/core"
@@ -103,6 +102,10 @@
 		c.requestArrived(t, e.Request)
 	case core.CallerDisconnected:
 		c.callerDisconnected(t, e.Request)
+	case core.OriginFound:
+		c.originFound(t, e)
+	case core.SoleVersion:
+		c.soleVersionFound(t, e)
 	case core.QuotaAcquired:
 		c.quotaAcquired(t, e.Request)
 	case core.QuotaDenied:
@@ -234,19 +237,23 @@
 		Component: "entry", Choice: "admit", Reason: "permitted by the configuration", Request: r.ID, Account: a.account.ID,
 		Pool: a.pool, PromptTokens: r.PromptTokens, MaxTokens: a.outputLimit, Version: c.config.Version,
 	})
-	if r.Continues {
-		t.LogDecision(core.Decision{
-			Component: "entry", Choice: "continue", Reason: "the caller has the first events of " + strconv.Quote(string(r.Origin)), Request: r.ID,
-			Pool: a.pool,
-		})
-	}
 	c.requests[r.ID] = rq
-	c.schedule(rq)
-	if a.account.ID == "" || a.account.Unlimited || a.cost == 0 {
+	if r.Continues && rq.route.Streaming {
+		c.findOrigin(t, rq)
+		return
+	}
+	c.acquireQuota(t, rq)
+}
+
+// acquireQuota asks for the tokens that a request may use, unless its account needs none.
+func (c *component) acquireQuota(t *core.Turn, r *request) {
+	r.stage = stageQuota
+	c.schedule(r)
+	if r.account.ID == "" || r.account.Unlimited || r.cost == 0 {
 		c.quotaAcquired(t, r.ID)
 		return
 	}
-	t.Post(core.AcquireQuota{Request: r.ID, Account: a.account.ID, Cost: a.cost, MaxWait: rq.maxQuotaWait()})
+	t.Post(core.AcquireQuota{Request: r.ID, Account: r.account.ID, Cost: r.cost, MaxWait: r.maxQuotaWait()})
 }
 
 func (c *component) quotaAcquired(t *core.Turn, id core.RequestID) {
@@ -440,6 +447,7 @@
 func (c *component) firstToken(t *core.Turn, a core.AttemptID) {
 	if r := c.requests[a.Request]; r != nil && r.attemptID() == a && r.stage == stageDecode {
 		r.firstTokenLatency = t.Now.Sub(r.decodeStartedAt)
+		c.responseBegan(t, r)
 	}
 }
 
@@ -450,6 +458,9 @@
 	}
 	tokensBefore := r.relayedTokens
 	r.relayedTokens = e.RelayedTokens
+	if r.relayedTokens > tokensBefore {
+		c.responseBegan(t, r)
+	}
 	c.reportStream(t, r, &e, tokensBefore)
 	if e.Failure == nil {
 		r.mayHaveRun = true
--- a/core/entry/failure.go
+++ b/core/entry/failure.go
@@ -106,7 +106,7 @@
 	switch r.stage {
 	case stageConfig:
 		c.refuseAwaitingConfig(t, r, failure)
-	case stageQuota, stagePlacement:
+	case stageOrigin, stageQuota, stagePlacement:
 		c.cancelWaiting(t, r, failure)
 	case stageCall:
 		if r.route.EndToEndTimeout && r.retryable() {
@@ -129,7 +129,7 @@
 func (c *component) refuseRevoked(t *core.Turn) {
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
-		if r.account.ID == "" || (r.stage != stageQuota && r.stage != stagePlacement) {
+		if r.account.ID == "" || !r.isWaiting() {
 			continue
 		}
 		if _, ok := c.config.KeyByHash(r.KeyHash); ok {
--- a/core/entry/quarantine.go
+++ b/core/entry/quarantine.go
@@ -92,7 +92,7 @@
 func (c *component) refuseWaitingQuarantined(t *core.Turn) {
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
-		if r.stage != stageQuota && r.stage != stagePlacement {
+		if !r.isWaiting() {
 			continue
 		}
 		if f := c.quarantineFailure(r); f != nil {
--- a/core/entry/release.go
+++ b/core/entry/release.go
@@ -181,7 +181,7 @@
 // goroutines enforce its limit.
 func (c *component) schedule(r *request) {
 	switch r.stage {
-	case stageQuota:
+	case stageOrigin, stageQuota:
 		r.dueAt = core.Earlier(r.Deadline, c.latestStart(r))
 	case stageIdempotency:
 		r.dueAt = c.latestStart(r)
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -12,6 +12,8 @@
 const (
 	// stageConfig requests wait for the host's first configuration.
 	stageConfig stage = iota
+	// stageOrigin requests continue a stream, and wait for the software version that began it.
+	stageOrigin
 	stageQuota
 	stageIdempotency
 	stagePlacement
@@ -87,7 +89,11 @@
 	nextWithoutPrefill bool
 	// relayedTokens is the number of tokens sent to the caller; enginePromptTokens is the prompt length that the engine
 	// reported.
-	relayedTokens      core.Tokens
+	relayedTokens core.Tokens
+	// version is the software version that began the response, if hasVersion is set. announced is true once other hosts were told.
+	version            core.SoftwareVersion
+	hasVersion         bool
+	announced          bool
 	enginePromptTokens core.Tokens
 	reconnectCount     int
 	// crashes counts the attempts whose upstream crashed when it began to execute the request, which fingerprint identifies.
@@ -132,8 +138,9 @@
 		Boot:    boot,
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		PromptTokens: r.PromptTokens + r.relayedTokens, OutputTokens: r.remainingOutput(), PrefixHashes: r.PrefixHashes,
-		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now, dispatched), Urgent: r.relayedTokens > 0,
+		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now, dispatched), Urgent: r.relayedTokens > 0 || r.Continues,
 		WithoutPrefill: r.nextWithoutPrefill || r.kv != nil, Prefilled: r.kv != nil,
+		FixedVersion: r.hasVersion, SoftwareVersion: r.version,
 		Regions: r.regions, Priority: r.priority, Target: r.route.LatencyTarget,
 	}
 	if patience := r.patience(); patience > 0 {
@@ -148,6 +155,12 @@
 	r.firstTokenLatency = 0
 }
 
+// isWaiting reports whether a request waits for what it needs before it can be sent to an upstream. One that waits for its idempotency
+// key is decided on once that is acquired.
+func (r *request) isWaiting() bool {
+	return r.stage == stageOrigin || r.stage == stageQuota || r.stage == stagePlacement
+}
+
 // isRunning reports whether an attempt is at an upstream.
 func (r *request) isRunning() bool {
 	return r.stage == stagePrefill || r.stage == stageDecode || r.stage == stageCall
--- a/core/entry/route_test.go
+++ b/core/entry/route_test.go
@@ -14,6 +14,7 @@
 	"oleanderlever/core/dispatch"
 	"oleanderlever/core/entry"
 	"oleanderlever/core/harness"
+	"oleanderlever/core/origin"
 )
 
 // testHost is a single host in mixed placement, with two upstreams of a plain service and two engines.
@@ -56,7 +57,7 @@
 		RetryBudget: retryPolicy, Entry: true, UpstreamHeartbeatTimeout: 5 * time.Second,
 		Regions: map[core.DataCentre]core.Region{"dc-a": "a", "dc-b": "b"},
 	}
-	h.kernel = core.New(env, dispatch.Plugin(), entry.Plugin(false))
+	h.kernel = core.New(env, origin.Plugin(), dispatch.Plugin(), entry.Plugin(false))
 	h.step(core.Started{})
 	h.step(core.ConfigActivated{Config: routedConfig()})
 	h.step(core.LeaseChanged{Expires: h.now.Add(time.Hour)})
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -41,6 +41,9 @@
 	KindQuarantined
 	// KindUnreachable means that no connection to the upstream could be opened, so that no byte of the request reached it.
 	KindUnreachable
+	// KindVersionUnavailable means that no upstream may continue a stream: those of the software version that began it are gone, or
+	// that version is not known.
+	KindVersionUnavailable
 	kindCount
 )
 
@@ -88,6 +91,7 @@
 	KindInternal:              {Name: "internal"},
 	KindMisdirected:           {Name: "misdirected"},
 	KindUnreachable:           {Name: "unreachable", NotExecuted: true, RetryAfter: shortRetryAfter},
+	KindVersionUnavailable:    {Name: "versionUnavailable", NotExecuted: true, RetryAfter: shortRetryAfter},
 	KindQuarantined:           {Name: "quarantined", NotExecuted: true, RetryAfter: quarantineRetryAfter},
 }
 
--- a/core/message.go
+++ b/core/message.go
@@ -310,6 +310,10 @@
 	// Pressure is true if the entry host asks because the pool of a plain service is under pressure. A dispatcher that has just
 	// started may not know that.
 	Pressure bool `cbor:"pressure,omitempty"`
+	// FixedVersion is true if the attempt continues a stream, which only an upstream of SoftwareVersion may. Dispatchers of earlier
+	// versions ignore it, so that entry hosts check their grants.
+	FixedVersion    bool            `cbor:"fixedSoftware,omitempty"`
+	SoftwareVersion SoftwareVersion `cbor:"software,omitempty"`
 	// LocalLoad is set if a host places an attempt itself, with only its own reservations to go by.
 	LocalLoad *LocalLoad `cbor:"-"`
 }
@@ -342,6 +346,8 @@
 	// PrefillIncarnation and DecodeIncarnation are the incarnations that the dispatcher knows, or zero.
 	PrefillIncarnation uint64 `cbor:"prefillIncarnation,omitempty"`
 	DecodeIncarnation  uint64 `cbor:"decodeIncarnation,omitempty"`
+	// DecodeVersion is the software version of Decode; a host of an earlier version leaves it empty.
+	DecodeVersion SoftwareVersion `cbor:"decodeSoftware,omitempty"`
 	// SingleRequest is true if no second request may be sent to Decode if it refuses the first one: it has a rate limit, or
 	// it refuses many.
 	SingleRequest bool `cbor:"singleRequest,omitempty"`
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -89,8 +89,8 @@
 	if a.Incarnation > maxSequence || a.Seq > maxSequence {
 		return Fail(KindBadRequest, "incarnation or seq is out of range")
 	}
-	if len(a.SoftwareVersion) > maxVersionBytes {
-		return Fail(KindBadRequest, "softwareVersion is longer than %d bytes", maxVersionBytes)
+	if err := a.SoftwareVersion.validate(); err != nil {
+		return err
 	}
 	if a.ColdFor < 0 || a.ColdFor > MaxStatedColdTime {
 		return Fail(KindBadRequest, "coldFor is out of range")
--- a/core/validate.go
+++ b/core/validate.go
@@ -61,6 +61,10 @@
 		return m.validate()
 	case QuarantineList:
 		return m.validate()
+	case StreamOrigin:
+		return m.validate()
+	case OriginReply:
+		return m.Version.validate()
 	case UpstreamLimits:
 		return m.validate()
 	}
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -32,6 +32,7 @@
 	core.KindOverloaded:            fasthttp.StatusServiceUnavailable,
 	core.KindNoUpstream:            fasthttp.StatusServiceUnavailable,
 	core.KindQuarantined:           fasthttp.StatusServiceUnavailable,
+	core.KindVersionUnavailable:    fasthttp.StatusServiceUnavailable,
 	core.KindNotReady:              fasthttp.StatusServiceUnavailable,
 	core.KindDeadlineExceeded:      fasthttp.StatusGatewayTimeout,
 	core.KindUpstreamRefused:       fasthttp.StatusServiceUnavailable,
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -28,6 +28,7 @@
 	_ "oleanderlever/core/member"
 	_ "oleanderlever/core/once"
 	_ "oleanderlever/core/order"
+	_ "oleanderlever/core/origin"
 	_ "oleanderlever/core/quarantine"
 	_ "oleanderlever/core/quota"
 	_ "oleanderlever/core/registry"
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -35,6 +35,8 @@
 	TokenInterval   time.Duration
 	// OutputTokens is the number of tokens of a response unless the decode request sets a lower limit.
 	OutputTokens core.Tokens
+	// SoftwareVersion is the version that the engine announces, or empty.
+	SoftwareVersion core.SoftwareVersion
 	// ChecksFencing makes the engine reject assign requests with a term below the highest that it has seen.
 	ChecksFencing bool
 }
--- a/io/engine/server.go
+++ b/io/engine/server.go
@@ -53,6 +53,7 @@
 		Announcement: core.Announcement{
 			ID: c.ID, Pool: c.Pool, Role: c.Role, Addr: addr, DataCentre: c.DataCentre,
 			Incarnation: uint64(time.Now().UnixMilli()), Slots: c.Slots, MemoryPages: c.Pages, ChecksFencing: c.ChecksFencing,
+			SoftwareVersion: c.SoftwareVersion,
 		},
 		Hosts: c.Hosts, Secret: c.Secret, Report: e.loadReport,
 	}
--- a/io/host/codec.go
+++ b/io/host/codec.go
@@ -67,6 +67,9 @@
 	newWireType[core.QuarantineList](44),
 	newWireType[core.SoundParts](45),
 	newWireType[core.UpstreamLimits](46),
+	newWireType[core.StreamOrigin](47),
+	newWireType[core.OriginQuery](48),
+	newWireType[core.OriginReply](49),
 }
 
 var (
--- a/io/host/codec_test.go
+++ b/io/host/codec_test.go
@@ -73,6 +73,9 @@
 		Requests:    []core.RequestQuarantine{{Fingerprint: 8, Remaining: time.Minute}},
 		Crashes:     []core.RequestCrash{{Fingerprint: 9, Upstream: "e1", Incarnation: 3, Age: time.Second}},
 	},
+	core.StreamOrigin{Stream: "s", Version: "v1", Remaining: time.Minute},
+	core.OriginQuery{Request: "r", Stream: "s"},
+	core.OriginReply{Request: "r", Stream: "s", Version: "v1", Known: true},
 	core.UpstreamLimits{Limits: []core.UpstreamLimit{{Pool: "p", Upstream: "u", Incarnation: 2, RateLimit: 1.5, Age: time.Second, SinceSent: time.Minute}}, Cold: []core.ColdUpstream{{Pool: "p", Upstream: "v", ColdFor: time.Second}}, NewDispatcher: true},
 }
 
