--- a/core/entry/origin.go
+++ b/core/entry/origin.go
@@ -9,9 +9,6 @@
 // originMargin is how long after the end of its time a stream may still be taken up.
 const originMargin = 10 * time.Second
 
-// What two software versions write does not fit together: once a response has tokens or events, only upstreams of the version that
-// sent them may continue it, in this response or in one to a later request of the caller.
-
 // lifetime returns how long ago the stream that a request continues may have begun.
 func (r *request) lifetime(now time.Time) time.Duration {
 	return max(r.route.Timeout, r.Deadline.Sub(now)) + originMargin
@@ -20,8 +17,8 @@
 // fixVersion restricts the further attempts of a request to upstreams of a software version.
 func (r *request) fixVersion(v core.SoftwareVersion) { r.version, r.hasVersion = v, true }
 
-// responseBegan records the software version that sent the first token or event of a response. If the caller may take the stream up
-// again, other hosts are told.
+// responseBegan records the software version that sent the first token or event of a response. What two versions write does not fit
+// together, so that only upstreams of this one may continue it. If the caller may take the stream up again, other hosts are told.
 func (c *component) responseBegan(t *core.Turn, r *request) {
 	if !r.hasVersion {
 		r.fixVersion(r.grant.DecodeVersion)
--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -195,6 +195,19 @@
 	return s
 }
 
+// PostMembers tells all hosts which hosts are alive: all but the given ones. Hosts with a data directory serve no callers.
+func (r *Run) PostMembers(down ...*Host) {
+	var m core.MembersChanged
+	for _, h := range r.Hosts {
+		if !slices.Contains(down, h) {
+			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Disk: h.Disk, Entry: h.Disk == ""})
+		}
+	}
+	for _, h := range r.Hosts {
+		r.Post(h, m)
+	}
+}
+
 // Crash stops a host; a random number of its oldest unsynced writes have reached the disk.
 func (r *Run) Crash(h *Host) {
 	if !h.Up {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -34,28 +34,16 @@
 	c.Plugins = []core.Plugin{origin.Plugin(), watch}
 	f.Run = harness.New(c)
 	f.replicas, f.entryHosts = f.Hosts[:c.Disks], f.Hosts[c.Disks:]
-	f.publishMembers()
+	f.PostMembers()
 	return f
 }
 
-func (f *fleet) publishMembers(down ...*harness.Host) {
-	var m core.MembersChanged
-	for _, h := range f.Hosts {
-		if !slices.Contains(down, h) {
-			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Disk: h.Disk, Entry: h.Disk == ""})
-		}
-	}
-	for _, h := range f.Hosts {
-		f.Post(h, m)
-	}
-}
-
 // restart ends hosts and starts them again a second later.
 func (f *fleet) restart(hosts ...*harness.Host) {
 	for _, h := range hosts {
 		f.Crash(h)
 	}
-	f.publishMembers(hosts...)
+	f.PostMembers(hosts...)
 	f.RunFor(time.Second)
 	for _, h := range hosts {
 		f.Boot(h)
@@ -88,9 +76,9 @@
 			f.begin(f.entryHosts[f.Rand.IntN(9)], stream, versions[stream])
 		}
 		f.restart(f.entryHosts...)
-		f.publishMembers()
+		f.PostMembers()
 		f.restart(f.replicas[f.Rand.IntN(5)])
-		f.publishMembers()
+		f.PostMembers()
 		known := 0
 		for n := range 100 {
 			stream := core.RequestID(fmt.Sprint("s", n))
@@ -112,7 +100,7 @@
 	f.Post(f.entryHosts[1], core.FindOrigin{Request: "r", Stream: "s"})
 	f.RunFor(100 * time.Millisecond)
 	require.NotContains(t, f.found, core.RequestID("r"))
-	f.publishMembers()
+	f.PostMembers()
 	f.RunFor(100 * time.Millisecond)
 	require.True(t, f.found["r"].Known)
 }
--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -1,2 +1,3 @@
-// Package quarantine is the plug-in that finds prompt parts which crash engines and keeps requests with them away.
+// Package quarantine is the plug-in that finds requests, and parts of prompts, which crash upstreams, and keeps requests with them
+// away.
 package quarantine
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -76,23 +76,10 @@
 	for n := range engines {
 		f.engines = append(f.engines, &engine{id: core.UpstreamID(fmt.Sprint("e", n)), up: true})
 	}
-	f.publishMembers()
+	f.PostMembers()
 	return f
 }
 
-// publishMembers tells all hosts which hosts are alive: all but the given ones. Hosts with a data directory serve no callers.
-func (f *fleet) publishMembers(down ...*harness.Host) {
-	var m core.MembersChanged
-	for _, h := range f.Hosts {
-		if !slices.Contains(down, h) {
-			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Disk: h.Disk, Entry: h.Disk == ""})
-		}
-	}
-	for _, h := range f.Hosts {
-		f.Post(h, m)
-	}
-}
-
 func (f *fleet) randomHost() *harness.Host { return f.Hosts[f.Rand.IntN(len(f.Hosts))] }
 
 // submit sends a request with these prompt parts through a host to a random engine, unless the host refuses it.
@@ -274,10 +261,10 @@
 	require.Zero(t, f.refusingHosts(sharedPart), "only requests with both parts have crashed engines")
 	h := f.Hosts[4]
 	f.Crash(h)
-	f.publishMembers(h)
+	f.PostMembers(h)
 	f.Boot(h)
 	require.False(t, f.refuses(h, sharedPart, deadlyPart))
-	f.publishMembers()
+	f.PostMembers()
 	f.RunFor(20 * time.Millisecond)
 	require.True(t, f.refuses(h, sharedPart, deadlyPart))
 }
@@ -294,13 +281,13 @@
 	for _, h := range entryHosts {
 		f.Crash(h)
 	}
-	f.publishMembers(entryHosts...)
+	f.PostMembers(entryHosts...)
 	f.RunFor(time.Second)
 	for _, h := range entryHosts {
 		f.Boot(h)
 	}
 	require.Equal(t, len(replicas), f.refusingHosts(deadlyPart))
-	f.publishMembers()
+	f.PostMembers()
 	f.RunFor(20 * time.Millisecond)
 	require.Equal(t, 12, f.refusingHosts(deadlyPart))
 }
--- a/core/quarantine/requests_test.go
+++ b/core/quarantine/requests_test.go
@@ -38,22 +38,10 @@
 	c.MinDelay = time.Millisecond
 	c.Plugins = []core.Plugin{gossip.Plugin(), quarantine.Plugin(), watch}
 	f.Run = harness.New(c)
-	f.publishMembers()
+	f.PostMembers()
 	return f
 }
 
-func (f *callFleet) publishMembers(down ...*harness.Host) {
-	var m core.MembersChanged
-	for _, h := range f.Hosts {
-		if !slices.Contains(down, h) {
-			m.Members = append(m.Members, core.Member{Host: h.ID, Boot: 1, State: core.MemberAlive, Disk: h.Disk, Entry: h.Disk == ""})
-		}
-	}
-	for _, h := range f.Hosts {
-		f.Post(h, m)
-	}
-}
-
 // crash reports that a new incarnation of an upstream ended with a request.
 func (f *callFleet) crash(h *harness.Host, fingerprint uint64) {
 	f.crashes++
@@ -148,12 +136,12 @@
 		for _, h := range entryHosts {
 			f.Crash(h)
 		}
-		f.publishMembers(entryHosts...)
+		f.PostMembers(entryHosts...)
 		f.RunFor(time.Second)
 		for _, h := range entryHosts {
 			f.Boot(h)
 		}
-		f.publishMembers()
+		f.PostMembers()
 		f.RunFor(20 * time.Millisecond)
 	}
 	for n := range 2 {
