core/origin, io/disk: the origins of streams survive the end of all hosts

Cause: the versions that began streams were in memory only, and without them a take-up is refused.

Change: replicas append origins to a file of its own in the data directory and read it at the start. It is written apart from the replicated log, and what can't be read or written keeps nothing from working. TestOriginIsFoundAfterAllHostsRestart failed before (no stream was found).

--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -330,6 +330,13 @@
 	case core.Persist:
 		h.unsynced = append(h.unsynced, a)
 		r.schedule(h, r.config.SyncTime, func() { r.sync(h, a) })
+	case core.SaveOrigins:
+		r.schedule(h, r.config.SyncTime, func() {
+			if a.Complete {
+				h.Stored.Notes.Origins = nil
+			}
+			h.Stored.Notes.Origins = append(h.Stored.Notes.Origins, a.Origins...)
+		})
 	default:
 		if r.OnAction != nil {
 			r.OnAction(h, a)
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -24,6 +24,11 @@
 	searchTimeout  = 300 * time.Millisecond
 	resendInterval = 80 * time.Millisecond
 	maxSearches    = 4096
+	// saveInterval is how long a replica collects new streams before it saves them.
+	saveInterval = 100 * time.Millisecond
+	// All streams are saved anew once saveFactor times as many were added, and minAdded at least.
+	saveFactor = 2
+	minAdded   = 1024
 )
 
 // record is what is remembered of a stream.
@@ -53,6 +58,12 @@
 	// replicas are the other hosts with a data directory, peers the other entry hosts.
 	replicas, peers []core.HostID
 	found, missed   int64
+	// stored are the origins that the data directory held at the start. unsaved are the streams to be saved at saveAt, and added is
+	// the number of those that were added since all were saved; negative means that they never were.
+	stored  []core.StreamOrigin
+	unsaved []core.RequestID
+	saveAt  time.Time
+	added   int
 }
 
 func init() { core.Register(Plugin()) }
@@ -61,12 +72,20 @@
 func Plugin() core.Plugin { return core.Plugin{Name: "origin", Rank: rank, New: newComponent} }
 
 func newComponent(env core.Env) core.Component {
-	c := &component{self: env.Self, isReplica: env.Disk != "", streams: map[core.RequestID]record{}, searches: map[core.RequestID]*search{}}
+	c := &component{
+		self: env.Self, isReplica: env.Disk != "", streams: map[core.RequestID]record{}, searches: map[core.RequestID]*search{},
+		stored: env.StoredState.Notes.Origins, added: -1,
+	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
 
 func (c *component) handle(t *core.Turn, ev core.Event) {
 	switch e := ev.(type) {
+	case core.Started:
+		for i := range c.stored {
+			c.remember(t.Now, c.stored[i].Stream, c.stored[i].Version, c.stored[i].Remaining)
+		}
+		c.stored = nil
 	case core.StreamBegan:
 		c.remember(t.Now, e.Stream, e.Version, e.TTL)
 		for _, h := range c.holders(e.Stream) {
@@ -97,6 +116,27 @@
 		c.order = append(c.order, stream)
 	}
 	c.streams[stream] = record{version: version, expires: now.Add(ttl)}
+	if c.isReplica {
+		c.unsaved = append(c.unsaved, stream)
+		c.saveAt = core.Earlier(c.saveAt, now.Add(saveInterval))
+	}
+}
+
+// save saves the streams that were added since the last time, or all.
+func (c *component) save(t *core.Turn) {
+	streams, all := c.unsaved, c.added < 0 || c.added+len(c.unsaved) > max(minAdded, saveFactor*len(c.streams))
+	c.added += len(c.unsaved)
+	if all {
+		streams, c.added = c.order, 0
+	}
+	var origins []core.StreamOrigin
+	for _, stream := range streams {
+		if r := c.streams[stream]; t.Now.Before(r.expires) {
+			origins = append(origins, core.StreamOrigin{Stream: stream, Version: r.version, Remaining: r.expires.Sub(t.Now)})
+		}
+	}
+	c.unsaved, c.saveAt = nil, time.Time{}
+	t.Emit(core.SaveOrigins{Origins: origins, Complete: all})
 }
 
 // makeRoom forgets the streams at the head of the order that have expired, and the first one if there are too many.
@@ -191,6 +231,9 @@
 }
 
 func (c *component) tick(t *core.Turn) {
+	if core.Due(c.saveAt, t.Now) {
+		c.save(t)
+	}
 	for _, request := range slices.Sorted(maps.Keys(c.searches)) {
 		switch s := c.searches[request]; {
 		case core.Due(s.deadline, t.Now):
@@ -202,7 +245,7 @@
 }
 
 func (c *component) nextDeadline() time.Time {
-	var next time.Time
+	next := c.saveAt
 	for _, s := range c.searches {
 		next = core.Earlier(next, core.Earlier(s.deadline, s.resendAt))
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+// All hosts, replicas too, end at once and start again with what their disks hold. Streams that began a moment before must be known.
+func TestOriginIsFoundAfterAllHostsRestart(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(harness.Config{Seed: seed, Hosts: 14, Disks: 5, LossRate: 0.05, SyncTime: 5 * time.Millisecond})
+		for range 3 {
+			for n := range 50 {
+				f.begin(f.entryHosts[f.Rand.IntN(9)], core.RequestID(fmt.Sprint("s", n)), "v1")
+			}
+			f.RunFor(150 * time.Millisecond)
+			f.restart(f.Hosts...)
+			f.PostMembers()
+		}
+		known := 0
+		for n := range 50 {
+			if found, _ := f.find(f.entryHosts[f.Rand.IntN(9)], core.RequestID(fmt.Sprint("s", n))); found.Known {
+				known++
+			}
+		}
+		require.GreaterOrEqual(t, known, 49, "seed %d", seed)
+	}
+}
+
 // A host that has just started and knows no other host yet must wait for them and not take the stream for an unknown one.
 func TestOriginIsFoundByAHostThatHasJustStarted(t *testing.T) {
 	f := newFleet(harness.Config{Seed: 1, Hosts: 5, Disks: 3})
--- a/core/replicated.go
+++ b/core/replicated.go
@@ -80,6 +80,7 @@
 	Hard     HardState
 	Snapshot *Snapshot
 	Entries  []Entry
+	Notes    Notes
 }
 
 // LastReplicaSet returns the newest replica set in the data directory.
--- a/io/disk/peer.go
+++ b/io/disk/peer.go
@@ -35,20 +35,26 @@
 	h.Env.Disk = store.Disk()
 	h.Env.StoredState = stored
 	w := &writer{store: store, loop: h.Loop, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	notes := newNoteWriter(store, h.Log)
 	started := false
 	return control.Instance{
 		Start: func() {
 			started = true
 			go w.run()
+			go notes.run()
 		},
 		Perform: func(a core.Action) {
-			if p, ok := a.(core.Persist); ok {
-				w.enqueue(p)
+			switch a := a.(type) {
+			case core.Persist:
+				w.enqueue(a)
+			case core.SaveOrigins:
+				notes.perform(a)
 			}
 		},
 		Close: func() {
 			if started {
 				w.close()
+				notes.close()
 			}
 			store.Close()
 		},
@@ -59,12 +65,13 @@
 	w.mu.Lock()
 	w.queue = append(w.queue, p)
 	w.mu.Unlock()
-	w.signal()
+	signal(w.wake)
 }
 
-func (w *writer) signal() {
+// signal wakes the goroutine that receives from a channel with room for one element.
+func signal(wake chan<- struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -73,7 +80,7 @@
 	w.mu.Lock()
 	w.closed = true
 	w.mu.Unlock()
-	w.signal()
+	signal(w.wake)
 	<-w.done
 }
 
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -26,10 +26,12 @@
 	// Sync flushes a file to the disk; tests replace it to inject errors.
 	Sync func(f *os.File) error
 
-	dir       string
-	disk      core.DiskID
-	lock      *os.File
-	segment   *os.File
+	dir     string
+	disk    core.DiskID
+	lock    *os.File
+	segment *os.File
+	// origins is the file of origins, or nil until it has been written completely.
+	origins   *os.File
 	baseIndex uint64
 	failed    error
 }
@@ -62,6 +64,7 @@
 		s.Close()
 		return nil, state, err
 	}
+	state.Notes = s.loadNotes()
 	return s, state, nil
 }
 
@@ -73,6 +76,7 @@
 	if s.segment != nil {
 		_ = s.segment.Close()
 	}
+	s.closeOrigins()
 	if s.lock != nil {
 		_ = s.lock.Close()
 	}
