core/quarantine, io/disk: quarantines survive the end of all hosts

What callers would see: if all replicas and all entry hosts end at the same moment, a request or a part of a prompt that is in quarantine crashes three upstreams again, and what runs beside the third, each time that this happens.

Cause: crashes and quarantines were in memory only; replicas kept them while entry hosts restarted.

Change: replicas write their list to a file of its own 100 ms after a change, and read it at the start.

--- a/core/harness/harness.go
+++ b/core/harness/harness.go
@@ -337,6 +337,8 @@
 			}
 			h.Stored.Notes.Origins = append(h.Stored.Notes.Origins, a.Origins...)
 		})
+	case core.SaveQuarantine:
+		r.schedule(h, r.config.SyncTime, func() { h.Stored.Notes.Quarantine = a.List })
 	default:
 		if r.OnAction != nil {
 			r.OnAction(h, a)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -82,6 +82,9 @@
 	isReplica bool
 	rand      *rand.Rand
 	nextCheck time.Time
+	// stored is the list that the data directory held at the start. A replica saves its list at saveAt, zero if nothing has changed.
+	stored core.QuarantineList
+	saveAt time.Time
 	// compareAt is when the suspects are next compared, zero if nothing has changed.
 	compareAt time.Time
 }
@@ -100,15 +103,20 @@
 func newComponent(env core.Env) core.Component {
 	c := &component{
 		self: env.Self, isReplica: env.Disk != "", rand: env.Rand, suspects: map[uint64]*suspect{}, sound: map[uint64]time.Time{}, announced: map[uint64]time.Time{},
-		reports: map[core.UpstreamID]*reportCount{}, requests: newRequests(),
+		reports: map[core.UpstreamID]*reportCount{}, requests: newRequests(), stored: env.StoredState.Notes.Quarantine,
 	}
 	return core.Component{Handle: c.handle, NextDeadline: c.nextDeadline, Gauges: c.gauges}
 }
 
-func (c *component) nextDeadline() time.Time { return core.Earlier(c.nextCheck, c.compareAt) }
+func (c *component) nextDeadline() time.Time {
+	return core.Earlier(core.Earlier(c.nextCheck, c.compareAt), c.saveAt)
+}
 
 func (c *component) handle(t *core.Turn, ev core.Event) {
 	switch e := ev.(type) {
+	case core.Started:
+		c.handleList(t, c.self, c.stored)
+		c.stored = core.QuarantineList{}
 	case core.StreamCompleted:
 		c.streamCompleted(t, e.PromptParts)
 	case core.StreamCrashed:
@@ -129,6 +137,10 @@
 		if core.Due(c.nextCheck, t.Now) {
 			c.check(t)
 		}
+		if core.Due(c.saveAt, t.Now) {
+			c.saveAt = time.Time{}
+			t.Emit(core.SaveQuarantine{List: c.list(t.Now)})
+		}
 	case core.MessageReceived:
 		switch m := e.Message.(type) {
 		case core.QuarantineList:
@@ -484,14 +496,30 @@
 	}
 }
 
-func (c *component) sendQuarantine(t *core.Turn, to core.HostID) {
+// list returns the quarantines and the crashes that may lead to others.
+func (c *component) list(now time.Time) core.QuarantineList {
 	var m core.QuarantineList
 	for _, q := range c.quarantines {
-		if t.Now.Before(q.until) {
-			m.Quarantines = append(m.Quarantines, core.PromptQuarantine{Parts: q.parts, Remaining: q.until.Sub(t.Now)})
+		if now.Before(q.until) {
+			m.Quarantines = append(m.Quarantines, core.PromptQuarantine{Parts: q.parts, Remaining: q.until.Sub(now)})
 		}
 	}
-	c.listRequests(t.Now, &m)
+	c.listRequests(now, &m)
+	return m
+}
+
+// saveInterval is how long a replica collects changes of its list before it saves that.
+const saveInterval = 100 * time.Millisecond
+
+// saveLater has a replica save its list, which has changed.
+func (c *component) saveLater(now time.Time) {
+	if c.isReplica {
+		c.saveAt = core.Earlier(c.saveAt, now.Add(saveInterval))
+	}
+}
+
+func (c *component) sendQuarantine(t *core.Turn, to core.HostID) {
+	m := c.list(t.Now)
 	if len(m.Quarantines)+len(m.Requests)+len(m.Crashes) > 0 {
 		t.Send(to, m)
 	}
@@ -541,6 +569,7 @@
 
 // publish posts the quarantines.
 func (c *component) publish(t *core.Turn) {
+	c.saveLater(t.Now)
 	var sets [][]uint64
 	for _, q := range c.quarantines {
 		sets = append(sets, q.parts)
--- a/core/quarantine/requests.go
+++ b/core/quarantine/requests.go
@@ -143,6 +143,9 @@
 	if s.crashes = append(s.crashes, x); len(s.crashes) > maxCrashes {
 		s.crashes = slices.Delete(s.crashes, 0, 1)
 	}
+	if len(s.crashes) >= minListedCrashes {
+		c.saveLater(t.Now)
+	}
 	c.compareAt = core.Earlier(c.compareAt, t.Now.Add(settleTime))
 	c.schedule(t.Now)
 	return true
@@ -274,6 +277,7 @@
 
 // publishRequests posts the quarantined requests.
 func (c *component) publishRequests(t *core.Turn) {
+	c.saveLater(t.Now)
 	var fingerprints []uint64
 	for _, fingerprint := range slices.Sorted(maps.Keys(c.requests.suspects)) {
 		if c.requests.suspects[fingerprint].isQuarantined {
--- a/core/quarantine/requests_test.go
+++ b/core/quarantine/requests_test.go
@@ -157,6 +157,37 @@
 	require.Equal(t, len(entryHosts)+len(replicas), f.quarantinedOn(deadlyRequest))
 }
 
+// All hosts, replicas too, end at once and start again with what their disks hold: a request and a part of a prompt in quarantine, and a
+// request that is one crash away from it. Otherwise each such moment allows three more crashes.
+func TestRestartOfAllHostsKeepsTheQuarantines(t *testing.T) {
+	f := newCallFleet(harness.Config{Seed: 1, Hosts: 12, Disks: 3, MaxDelay: 5 * time.Millisecond, SyncTime: 5 * time.Millisecond})
+	entryHosts := f.Hosts[3:]
+	const nextRequest = deadlyRequest + 100
+	for n := range 3 {
+		f.crash(entryHosts[n], deadlyRequest)
+		if n < 2 {
+			f.crash(entryHosts[n], nextRequest)
+		}
+		f.RunFor(time.Second)
+	}
+	for range 2 {
+		for _, h := range f.Hosts {
+			f.Crash(h)
+		}
+		f.RunFor(time.Second)
+		for _, h := range f.Hosts {
+			f.Boot(h)
+		}
+		f.PostMembers()
+		f.RunFor(time.Second)
+		require.Equal(t, 12, f.quarantinedOn(deadlyRequest))
+		require.Zero(t, f.quarantinedOn(nextRequest))
+	}
+	f.crash(entryHosts[4], nextRequest)
+	f.RunFor(time.Second)
+	require.Equal(t, 12, f.quarantinedOn(nextRequest))
+}
+
 // A quarantine ends, so that a request that is sound again is served. Each crash after that doubles the next quarantine, so that a
 // request that comes for days crashes few upstreams.
 func TestQuarantineOfARequestGrows(t *testing.T) {
--- a/io/disk/notes.go
+++ b/io/disk/notes.go
@@ -12,7 +12,10 @@
 	"oleanderlever/core"
 )
 
-const originsFile = "origins"
+const (
+	originsFile    = "origins"
+	quarantineFile = "quarantine"
+)
 
 // loadNotes reads the notes. They only help a host that has restarted, so that what can't be read is left out and is no error.
 func (s *Store) loadNotes() core.Notes {
@@ -25,6 +28,7 @@
 		notes.Origins = append(notes.Origins, origins...)
 		return nil
 	})
+	s.eachNote(quarantineFile, func(payload []byte) error { return cbor.Unmarshal(payload, &notes.Quarantine) })
 	return notes
 }
 
@@ -73,16 +77,26 @@
 	}
 }
 
+// SaveQuarantine replaces the quarantines and crashes in the notes.
+func (s *Store) SaveQuarantine(a core.SaveQuarantine) error {
+	record, err := appendRecord(nil, a.List)
+	if err != nil {
+		return err
+	}
+	return s.writeFile(quarantineFile, record)
+}
+
 // noteWriter is the goroutine that writes the notes, apart from the replicated log, whose writes others wait for.
 type noteWriter struct {
 	store *Store
 	log   zerolog.Logger
 
-	mu      sync.Mutex
-	origins *core.SaveOrigins
-	closed  bool
-	wake    chan struct{}
-	done    chan struct{}
+	mu         sync.Mutex
+	origins    *core.SaveOrigins
+	quarantine *core.SaveQuarantine
+	closed     bool
+	wake       chan struct{}
+	done       chan struct{}
 }
 
 // maxPendingOrigins limits the origins that wait for a slow disk; further ones are dropped until the next complete write.
@@ -92,13 +106,18 @@
 	return &noteWriter{store: store, log: log, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
-func (w *noteWriter) perform(a core.SaveOrigins) {
+func (w *noteWriter) perform(a core.Action) {
 	w.mu.Lock()
-	switch {
-	case a.Complete || w.origins == nil:
-		w.origins = &a
-	case len(w.origins.Origins) < maxPendingOrigins:
-		w.origins.Origins = append(w.origins.Origins, a.Origins...)
+	switch a := a.(type) {
+	case core.SaveOrigins:
+		switch {
+		case a.Complete || w.origins == nil:
+			w.origins = &a
+		case len(w.origins.Origins) < maxPendingOrigins:
+			w.origins.Origins = append(w.origins.Origins, a.Origins...)
+		}
+	case core.SaveQuarantine:
+		w.quarantine = &a
 	}
 	w.mu.Unlock()
 	signal(w.wake)
@@ -118,13 +137,16 @@
 	failed := false
 	for range w.wake {
 		w.mu.Lock()
-		origins, closed := w.origins, w.closed
-		w.origins = nil
+		origins, quarantine, closed := w.origins, w.quarantine, w.closed
+		w.origins, w.quarantine = nil, nil
 		w.mu.Unlock()
 		var err error
 		if origins != nil {
 			err = w.store.SaveOrigins(*origins)
 		}
+		if quarantine != nil {
+			err = errors.CombineErrors(err, w.store.SaveQuarantine(*quarantine))
+		}
 		if err != nil && !failed {
 			w.log.Warn().Err(err).Msg("the notes could not be written")
 		}
--- a/io/disk/notes_test.go
+++ b/io/disk/notes_test.go
@@ -36,8 +36,12 @@
 	require.Error(t, store.SaveOrigins(core.SaveOrigins{Origins: []core.StreamOrigin{origin("early")}}), "nothing says what is there")
 	require.NoError(t, store.SaveOrigins(core.SaveOrigins{Origins: []core.StreamOrigin{origin("a"), origin("b")}, Complete: true}))
 	require.NoError(t, store.SaveOrigins(core.SaveOrigins{Origins: []core.StreamOrigin{origin("c")}}))
+	list := core.QuarantineList{Requests: []core.RequestQuarantine{{Fingerprint: 7, Remaining: time.Minute}}}
+	require.NoError(t, store.SaveQuarantine(core.SaveQuarantine{}))
+	require.NoError(t, store.SaveQuarantine(core.SaveQuarantine{List: list}))
 	store, notes = reopen(t, store, dir)
 	require.Equal(t, []core.StreamOrigin{origin("a"), origin("b"), origin("c")}, notes.Origins)
+	require.Equal(t, list, notes.Quarantine)
 
 	path := filepath.Join(dir, "origins")
 	content, err := os.ReadFile(path)
@@ -63,6 +67,7 @@
 	sync := store.Sync
 	store.Sync = func(*os.File) error { return errors.New("the disk is full") }
 	require.Error(t, store.SaveOrigins(core.SaveOrigins{Origins: []core.StreamOrigin{origin("b")}}))
+	require.Error(t, store.SaveQuarantine(core.SaveQuarantine{}))
 	store.Sync = sync
 	require.NoError(t, store.Persist([]core.Persist{{Seq: 1, Hard: core.HardState{Epoch: 3}}}))
 	require.Error(t, store.SaveOrigins(core.SaveOrigins{Origins: []core.StreamOrigin{origin("c")}}), "a part of a record may precede it")
--- a/io/disk/peer.go
+++ b/io/disk/peer.go
@@ -47,7 +47,7 @@
 			switch a := a.(type) {
 			case core.Persist:
 				w.enqueue(a)
-			case core.SaveOrigins:
+			case core.SaveOrigins, core.SaveQuarantine:
 				notes.perform(a)
 			}
 		},
