--- a/core/crash.go
+++ b/core/crash.go
@@ -37,6 +37,38 @@
 	Remaining   time.Duration `cbor:"remaining"`
 }
 
+// PromptCrash is the crash of an engine at the start of a response to a prompt with these parts.
+type PromptCrash struct {
+	Upstream UpstreamID `cbor:"upstream"`
+	Parts    []uint64   `cbor:"parts"`
+	// Fingerprint is that of the request, or zero if it is not known.
+	Fingerprint uint64 `cbor:"request,omitempty"`
+}
+
+// PromptSound is a prompt part that was in a complete response and that crashes had made suspect.
+type PromptSound struct {
+	Part uint64 `cbor:"part"`
+}
+
+// PromptQuarantine keeps requests away whose prompt has all of these parts, for the time that remains.
+type PromptQuarantine struct {
+	Parts     []uint64      `cbor:"parts"`
+	Remaining time.Duration `cbor:"remaining"`
+}
+
+// QuarantineList tells another host which quarantines are in force, and which crashes may lead to others.
+type QuarantineList struct {
+	Quarantines []PromptQuarantine  `cbor:"quarantines"`
+	Requests    []RequestQuarantine `cbor:"requests,omitempty"`
+	Crashes     []RequestCrash      `cbor:"crashes,omitempty"`
+}
+
+// SoundParts is the response to a QuarantineList: what in it has been in complete responses.
+type SoundParts struct {
+	Parts    []uint64 `cbor:"parts"`
+	Requests []uint64 `cbor:"requests,omitempty"`
+}
+
 func (c *RequestCrash) validate() error {
 	if c.Age < 0 || c.Age > maxDuration {
 		return Fail(KindBadRequest, "crash: the age is out of range")
