core/origin: room for the streams of the size that decides the design

A replica of 15 gets 2,200 streams a second at that size and keeps each for 24 s, if it has the usual timeout of 14 s: 53,000, more than the 32,768 that it had room for. TestRememberedStreamsAreLimited checks the new limit and passes.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -14,7 +14,7 @@
 const (
 	rank = 57
 	// maxStreams limits the streams that a host remembers; beyond it the oldest are forgotten.
-	maxStreams = 32768
+	maxStreams = 65536
 	// copies is the number of replicas that are told of a stream. Two of them may restart before its caller takes it up.
 	copies = 3
 	// maxAskedPeers limits the entry hosts that are asked besides the replicas. One of them may have the stream while its message
