--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -138,7 +138,7 @@
 		Boot:    boot,
 		Account: r.account.ID, Pool: r.pool, Weight: max(1, r.account.Weight),
 		PromptTokens: r.PromptTokens + r.relayedTokens, OutputTokens: r.remainingOutput(), PrefixHashes: r.PrefixHashes,
-		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now, dispatched), Urgent: r.relayedTokens > 0 || r.Continues,
+		PlainService: r.plainService, Repeatable: r.retryable(), Avoid: r.avoid, Remaining: r.maxPlacementWait(now, dispatched), Urgent: r.relayedTokens > 0 || r.Origin != "",
 		WithoutPrefill: r.nextWithoutPrefill || r.kv != nil, Prefilled: r.kv != nil,
 		FixedVersion: r.hasVersion, SoftwareVersion: r.version,
 		Regions: r.regions, Priority: r.priority, Target: r.route.LatencyTarget,
